--- a/src/bin/sorrelflow-wirehost/host.rs
+++ b/src/bin/corkreach-benchlink/host.rs
@@ -1,8 +1,8 @@
 //! Batches to events, actions to replies.
 
-use crate::settings::{self, Column};
 use crate::wire::{Reader, Writer};
-use sorrelflow::*;
+use corkreach::settings::{self, Column};
+use corkreach::*;
 use std::collections::BTreeMap;
 
 /// One instance: its controller and what is needed to read its events.
@@ -203,13 +203,8 @@
 fn load_report(fields: &mut Reader, columns: &[Column]) -> Result<LoadReport, String> {
     let mut report = LoadReport::default();
     for i in 0..fields.u8()?.into() {
-        let value = reported(fields)?;
-        match columns.get(i) {
-            Some(Column::Free) => report.free_lines = value,
-            Some(Column::Size) => report.lines = value,
-            Some(column) => figure(&mut report, column).into_iter().for_each(|f| *f = value),
-            None => {}
-        }
+        let value = f64::from(fields.f32()?);
+        columns.get(i).copied().unwrap_or(Column::Other).fill(&mut report, value);
     }
     Ok(report)
 }
--- a/src/bin/sorrelflow-wirehost/main.rs
+++ b/src/bin/corkreach-benchlink/main.rs
@@ -4,7 +4,6 @@
 use std::process::ExitCode;
 
 mod host;
-mod settings;
 mod wire;
 
 /// Largest body accepted, in bytes: far above any real batch, far below memory.
@@ -56,7 +55,7 @@
     match run(BufReader::with_capacity(1 << 16, input), BufWriter::with_capacity(1 << 16, output)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
-            eprintln!("sorrelflow-wirehost: {message}");
+            eprintln!("corkreach-benchlink: {message}");
             ExitCode::FAILURE
         }
     }
--- /dev/null
+++ b/src/config.rs
@@ -0,0 +1,136 @@
+//! The configuration: what the platform tells a border controller at its start.
+
+use crate::engine::Listing;
+use crate::interface::{Listed, Settings};
+use crate::settings::{self, Column, HostSettings};
+use serde::Deserialize;
+use serde_json::Value;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::Path;
+
+/// Everything the program is told.
+#[derive(Debug)]
+pub struct Config {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub seed: u64,
+    /// Descriptors that the program may hold.
+    pub sockets: usize,
+    pub names: SocketAddr,
+    /// The last event of the name service at the start, and the list as it was then.
+    pub serial: u32,
+    pub known: Vec<Listing>,
+    pub settings: Settings,
+    pub host: HostSettings,
+    pub columns: Vec<Column>,
+}
+
+#[derive(Deserialize)]
+struct File {
+    #[serde(default)]
+    name: String,
+    listen: Option<SocketAddr>,
+    #[serde(default)]
+    seed: String,
+    #[serde(default)]
+    limits: Limits,
+    dns: SocketAddr,
+    known: Known,
+    settings: Value,
+}
+
+#[derive(Deserialize)]
+#[serde(default)]
+struct Limits {
+    sockets: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits { sockets: 1024 }
+    }
+}
+
+#[derive(Deserialize)]
+struct Known {
+    seq: u32,
+    #[serde(default)]
+    results: Vec<News>,
+}
+
+#[derive(Deserialize)]
+struct News {
+    fleet: Option<Fleet>,
+}
+
+#[derive(Deserialize)]
+struct Fleet {
+    #[serde(default)]
+    full: bool,
+    #[serde(default)]
+    servers: Vec<Server>,
+}
+
+#[derive(Deserialize)]
+struct Server {
+    id: String,
+    addr: SocketAddr,
+    #[serde(default)]
+    cell: u32,
+    state: String,
+    #[serde(default)]
+    started_ms: f64,
+}
+
+/// Reads the configuration; `listen` and `name` stand in for what the file says.
+pub fn read(path: &Path, listen: Option<SocketAddr>, name: Option<String>) -> Result<Config, String> {
+    let text = std::fs::read(path).map_err(|e| format!("{}: {e}", path.display()))?;
+    parse(&text, listen, name).map_err(|e| format!("{}: {e}", path.display()))
+}
+
+fn parse(text: &[u8], listen: Option<SocketAddr>, name: Option<String>) -> Result<Config, String> {
+    let file: File = serde_json::from_slice(text).map_err(|e| e.to_string())?;
+    let inner = file.settings.to_string();
+    let (settings, columns) = settings::parse(inner.as_bytes())?;
+    Ok(Config {
+        name: name.unwrap_or(file.name),
+        listen: listen.or(file.listen).ok_or("no address to listen on")?,
+        seed: seed(&file.seed),
+        sockets: file.limits.sockets,
+        names: file.dns,
+        serial: file.known.seq,
+        known: list(file.known)?,
+        settings,
+        host: settings::parse_host(inner.as_bytes())?,
+        columns,
+    })
+}
+
+/// The seed is hexadecimal; any other text still makes one.
+fn seed(text: &str) -> u64 {
+    u64::from_str_radix(text, 16)
+        .unwrap_or_else(|_| text.bytes().fold(7, |sum: u64, b| sum.wrapping_mul(31) ^ u64::from(b)))
+}
+
+/// The list that the known events make, the first whole and each later one a change.
+fn list(known: Known) -> Result<Vec<Listing>, String> {
+    let mut servers = BTreeMap::new();
+    for fleet in known.results.into_iter().filter_map(|news| news.fleet) {
+        if fleet.full {
+            servers.clear();
+        }
+        for s in fleet.servers {
+            let state = match s.state.as_str() {
+                "Ready" => Listed::Ready,
+                "Terminating" => Listed::Draining,
+                "Gone" => Listed::Gone,
+                other => return Err(format!("call server {}: unknown state {other}", s.id)),
+            };
+            let started_at = Some(s.started_ms).filter(|&ms| ms > 0.0);
+            let listing = Listing { name: s.id.clone(), addr: s.addr, place: s.cell, state, started_at };
+            servers.insert(s.id, listing);
+        }
+    }
+    Ok(servers.into_values().filter(|s| s.state != Listed::Gone).collect())
+}
--- /dev/null
+++ b/src/engine/calls.rs
@@ -0,0 +1,521 @@
+//! Calls and their attempts: from the set-up to the one final answer, and to the release of what stood.
+
+use super::{
+    CallerConn, Due, Effect, Ending, Engine, Fault, FromCaller, Release, ServerConn, SetUp, ToCaller,
+    ToServer,
+};
+use crate::interface::{self as module, CallId, LoadReport, Outcome, ServerId};
+use std::collections::{BTreeMap, VecDeque};
+
+/// The module answers before the caller's time is over; if it has not this long after, the engine does, ms.
+const OVERDUE_MS: f64 = 5.0;
+/// Ended calls remembered, so that what crosses their end is told from news of a call before our start.
+const ENDED_MAX: usize = 4096;
+/// Releases kept for callers that have no connection open.
+const OWED_MAX: usize = 4096;
+
+/// An attempt that has not ended.
+struct Attempt {
+    number: u32,
+    server: ServerId,
+    sent_at: f64,
+    stage: Stage,
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Stage {
+    /// For a connection.
+    Waiting,
+    Out(ServerConn),
+    /// Its release is being written; then it ends so.
+    Ending(ServerConn, Outcome),
+}
+
+struct Standing {
+    server: ServerId,
+    conn: ServerConn,
+    since: f64,
+}
+
+struct Call {
+    conn: CallerConn,
+    class: String,
+    number: Option<String>,
+    description: String,
+    deadline: f64,
+    /// It got its final answer, or is owed none.
+    answered: bool,
+    attempts: u32,
+    attempt: Option<Attempt>,
+    guard_until: f64,
+    standing: Option<Standing>,
+}
+
+#[derive(Default)]
+pub(super) struct Calls {
+    live: BTreeMap<CallId, Call>,
+    /// Calls of late that are over, oldest first.
+    ended: VecDeque<CallId>,
+    /// Connections from callers; `false`: the caller sends no more on it.
+    conns: BTreeMap<CallerConn, bool>,
+    /// Releases that no connection could take.
+    owed: VecDeque<ToCaller>,
+}
+
+impl Calls {
+    pub fn attempt_number(&self, call: CallId) -> Option<u32> {
+        self.live.get(&call)?.attempt.as_ref().map(|a| a.number)
+    }
+
+    pub fn none_in_set_up(&self) -> bool {
+        self.live.values().all(|c| c.answered && c.attempt.is_none())
+    }
+
+    fn in_set_up(&self) -> usize {
+        self.live.values().filter(|c| c.standing.is_none()).count()
+    }
+
+    fn ids(&self, which: impl Fn(&Call) -> bool) -> Vec<CallId> {
+        self.live.iter().filter(|(_, c)| which(c)).map(|(&id, _)| id).collect()
+    }
+
+    /// Whether something at this call server is waited for.
+    pub fn any_at(&self, server: ServerId) -> bool {
+        self.live.values().any(|c| {
+            c.standing.as_ref().is_some_and(|s| s.server == server)
+                || c.attempt.as_ref().is_some_and(|a| a.server == server)
+        })
+    }
+
+    pub fn any_on(&self, conn: ServerConn) -> bool {
+        self.live.values().any(|c| {
+            c.attempt
+                .as_ref()
+                .is_some_and(|a| matches!(a.stage, Stage::Out(on) | Stage::Ending(on, _) if on == conn))
+        })
+    }
+
+    /// The one place where a call is given back.
+    fn forget(&mut self, call: CallId) {
+        if self.live.remove(&call).is_some() {
+            self.ended.push_back(call);
+            if self.ended.len() > ENDED_MAX {
+                self.ended.pop_front();
+            }
+        }
+    }
+}
+
+impl Engine {
+    // ---- callers' connections ----
+
+    pub(super) fn caller_opened(&mut self, conn: CallerConn, out: &mut Vec<Effect>) {
+        self.calls.conns.insert(conn, true);
+        // Releases that found no connection have waited for this one.
+        for message in std::mem::take(&mut self.calls.owed) {
+            out.push(Effect::ToCaller { conn, message });
+        }
+    }
+
+    /// A caller may shut its side and still wait for answers: they go out before the connection is closed.
+    pub(super) fn caller_eof(&mut self, conn: CallerConn, out: &mut Vec<Effect>) {
+        if let Some(open) = self.calls.conns.get_mut(&conn) {
+            *open = false;
+        }
+        self.close_if_done(conn, out);
+    }
+
+    fn close_if_done(&mut self, conn: CallerConn, out: &mut Vec<Effect>) {
+        let waited_for = self.calls.live.values().any(|c| c.conn == conn && !c.answered);
+        if self.calls.conns.get(&conn) == Some(&false) && !waited_for {
+            out.push(Effect::CloseCaller(conn));
+        }
+    }
+
+    /// Set-ups open on it are given up with it; standing calls belong to no connection.
+    pub(super) fn caller_closed(&mut self, conn: CallerConn, unsent: Vec<ToCaller>, out: &mut Vec<Effect>) {
+        self.calls.conns.remove(&conn);
+        for call in self.calls.ids(|c| c.conn == conn && !c.answered) {
+            self.given_up(call, out);
+        }
+        // A release that this connection could not take any more goes out on another.
+        for message in unsent.into_iter().filter(|m| matches!(m, ToCaller::Released { .. })) {
+            self.tell_any_caller(conn, message, out);
+        }
+    }
+
+    /// On the connection of the set-up, else on any; else on the next that opens.
+    fn tell_any_caller(&mut self, conn: CallerConn, message: ToCaller, out: &mut Vec<Effect>) {
+        let conns = &self.calls.conns;
+        let own = conns.get(&conn).filter(|&&open| open).map(|_| conn);
+        let any = || conns.iter().rev().find(|&(_, &open)| open).map(|(&conn, _)| conn);
+        match own.or_else(any) {
+            Some(conn) => out.push(Effect::ToCaller { conn, message }),
+            None => {
+                self.calls.owed.push_back(message);
+                if self.calls.owed.len() > OWED_MAX {
+                    self.calls.owed.pop_front();
+                }
+            }
+        }
+    }
+
+    // ---- what callers say ----
+
+    pub(super) fn hear_caller(
+        &mut self,
+        conn: CallerConn,
+        read_at: f64,
+        message: FromCaller,
+        out: &mut Vec<Effect>,
+    ) {
+        match message {
+            FromCaller::SetUp(set_up) => self.set_up(conn, read_at, set_up, out),
+            FromCaller::Unreadable { call, fault } => {
+                // One of a call that is known would be a second answer to it.
+                if !self.calls.live.contains_key(&call) {
+                    out.push(Effect::ToCaller { conn, message: ToCaller::Unreadable { call, fault } });
+                }
+            }
+            FromCaller::Release(call) => {
+                out.push(Effect::ToCaller { conn, message: ToCaller::Heard(call) });
+                self.released_by_caller(call, out);
+            }
+            FromCaller::Test(call) => {
+                let passed = self.ready();
+                out.push(Effect::ToCaller { conn, message: ToCaller::Tested { call, passed } });
+            }
+        }
+    }
+
+    fn set_up(&mut self, conn: CallerConn, read_at: f64, set_up: SetUp, out: &mut Vec<Effect>) {
+        let id = set_up.call;
+        if let Some(call) = self.calls.live.get_mut(&id) {
+            // It crossed a connection's close and came again on a new one: the answer goes there.
+            if !call.answered {
+                call.conn = conn;
+            }
+            return;
+        }
+        let Some(class) = self.host.classes.iter().position(|name| *name == set_up.class) else {
+            let message = ToCaller::Unreadable { call: id, fault: Fault::Invalid };
+            return out.push(Effect::ToCaller { conn, message });
+        };
+        if !self.takes_calls() || self.calls.in_set_up() >= self.host.open_cap {
+            return out
+                .push(Effect::ToCaller { conn, message: ToCaller::Refused { call: id, stay_away_ms: 0.0 } });
+        }
+        // The time that it lay unread is part of its caller's wait.
+        let deadline = read_at.min(self.now) + set_up.wait_ms;
+        self.news.push_back(module::Event::Call(module::Call {
+            id,
+            class,
+            customer: 0,
+            expires_in_ms: (deadline - self.now).max(0.0),
+            first_choice: set_up.first_choice,
+            number: set_up.number.as_deref().and_then(|text| u64::from_str_radix(text, 16).ok()),
+            redial: set_up.redial,
+        }));
+        self.timers.set(deadline, Due::CallOver(id));
+        let call = Call {
+            conn,
+            class: set_up.class,
+            number: set_up.number,
+            description: set_up.description,
+            deadline,
+            answered: false,
+            attempts: 0,
+            attempt: None,
+            guard_until: f64::NEG_INFINITY,
+            standing: None,
+        };
+        self.calls.live.insert(id, call);
+    }
+
+    fn released_by_caller(&mut self, id: CallId, out: &mut Vec<Effect>) {
+        let Some(call) = self.calls.live.get_mut(&id) else {
+            // It stood before this program's start: whichever call server holds it is to hear of it.
+            if !self.calls.ended.contains(&id) {
+                self.release_everywhere(id, out);
+            }
+            return;
+        };
+        if let Some(standing) = call.standing.take() {
+            self.calls.forget(id);
+            self.release_at(standing.server, Some(standing.conn), id, out);
+            self.tell_ended(id, standing.server, Outcome::Cancelled, true, LoadReport::default());
+        } else if !call.answered {
+            self.given_up(id, out);
+        }
+    }
+
+    /// No answer is owed any more.
+    fn given_up(&mut self, id: CallId, out: &mut Vec<Effect>) {
+        let Some(call) = self.calls.live.get_mut(&id) else { return };
+        call.answered = true;
+        let conn = call.conn;
+        self.news.push_back(module::Event::CallerLeft(id));
+        self.end_out(id, Outcome::Cancelled, out);
+        self.tidy(id);
+        self.close_if_done(conn, out);
+    }
+
+    // ---- answers ----
+
+    /// The one place where a call that does not stand gets its final answer.
+    pub(super) fn answer(&mut self, id: CallId, message: ToCaller, out: &mut Vec<Effect>) {
+        let Some(call) = self.calls.live.get_mut(&id).filter(|c| !c.answered) else {
+            return log::debug!("call {:016x} was answered already", id.0);
+        };
+        call.answered = true;
+        let conn = call.conn;
+        out.push(Effect::ToCaller { conn, message });
+        self.end_out(id, Outcome::Cancelled, out);
+        self.tidy(id);
+        self.close_if_done(conn, out);
+    }
+
+    /// The caller's time is over: the attempt ends as a time-out, and an answer that the module still owes a
+    /// moment later is given in its place.
+    pub(super) fn call_over(&mut self, id: CallId, out: &mut Vec<Effect>) {
+        let Some(call) = self.calls.live.get(&id).filter(|c| !c.answered) else { return };
+        if self.now >= call.deadline + OVERDUE_MS {
+            log::warn!("call {:016x} is overdue", id.0);
+            self.news.push_back(module::Event::CallerLeft(id));
+            self.answer(id, ToCaller::Failed(id), out);
+        } else {
+            self.timers.set(call.deadline + OVERDUE_MS, Due::CallOver(id));
+            self.end_out(id, Outcome::TimedOut, out);
+        }
+    }
+
+    /// Forgets a call of which nothing is left.
+    fn tidy(&mut self, id: CallId) {
+        if self.calls.live.get(&id).is_some_and(|c| c.answered && c.attempt.is_none() && c.standing.is_none())
+        {
+            self.calls.forget(id);
+        }
+    }
+
+    // ---- attempts ----
+
+    /// The one place where an attempt begins; the rules are checked once more.
+    pub(super) fn send(&mut self, id: CallId, server: ServerId, timeout_ms: f64, out: &mut Vec<Effect>) {
+        let (now, ready) = (self.now, self.fleet.is_ready(server));
+        let call = self.calls.live.get_mut(&id);
+        let allowed = call.as_ref().is_some_and(|c| {
+            !c.answered && c.attempt.is_none() && now >= c.guard_until && c.attempts < self.max_attempts
+        });
+        let Some(call) = call.filter(|_| allowed && ready) else {
+            log::error!("call {:016x} may not be sent", id.0);
+            return self.tell_ended(id, server, Outcome::NotSent, false, LoadReport::default());
+        };
+        let number = call.attempts;
+        call.attempts += 1;
+        call.attempt = Some(Attempt { number, server, sent_at: now, stage: Stage::Waiting });
+        if timeout_ms > 0.0 {
+            self.timers.set(now + timeout_ms, Due::AttemptOver(id, number));
+        }
+        match self.connection_to(server, out) {
+            Some(conn) => self.write_set_up(id, conn, out),
+            None => self.timers.set(now + self.host.dial_timeout_ms, Due::DialOver(id, number)),
+        }
+    }
+
+    fn write_set_up(&mut self, id: CallId, conn: ServerConn, out: &mut Vec<Effect>) {
+        let Some(call) = self.calls.live.get_mut(&id) else { return };
+        let Some(attempt) = &mut call.attempt else { return };
+        attempt.stage = Stage::Out(conn);
+        let message = ToServer::SetUp {
+            call: id,
+            class: call.class.clone(),
+            left_ms: (call.deadline - self.now).max(0.0).floor() as u64,
+            number: call.number.clone(),
+            description: call.description.clone(),
+        };
+        out.push(Effect::ToServer { conn, message, confirm: false });
+    }
+
+    /// A connection is there: what waited for it goes out.
+    pub(super) fn write_waiting(&mut self, server: ServerId, conn: ServerConn, out: &mut Vec<Effect>) {
+        for id in self.calls.ids(|c| c.attempt.as_ref().is_some_and(|a| a.waits_for(server))) {
+            self.write_set_up(id, conn, out);
+        }
+    }
+
+    pub(super) fn end_waiting(&mut self, server: ServerId, outcome: Outcome) {
+        for id in self.calls.ids(|c| c.attempt.as_ref().is_some_and(|a| a.waits_for(server))) {
+            self.end_attempt(id, outcome, LoadReport::default());
+        }
+    }
+
+    pub(super) fn dial_over(&mut self, id: CallId, attempt: u32) {
+        let waits = |a: &Attempt| a.number == attempt && a.stage == Stage::Waiting;
+        if self.calls.live.get(&id).and_then(|c| c.attempt.as_ref()).is_some_and(waits) {
+            self.end_attempt(id, Outcome::NotConnected, LoadReport::default());
+        }
+    }
+
+    /// Calls an attempt off. The release goes out first, and only once it is written has the attempt ended:
+    /// the guard runs from there, and no other attempt may be out before.
+    pub(super) fn end_out(&mut self, id: CallId, outcome: Outcome, out: &mut Vec<Effect>) {
+        let Some(attempt) = self.calls.live.get_mut(&id).and_then(|c| c.attempt.as_mut()) else { return };
+        match attempt.stage {
+            Stage::Waiting => self.end_attempt(id, outcome, LoadReport::default()),
+            Stage::Out(conn) => {
+                attempt.stage = Stage::Ending(conn, outcome);
+                out.push(Effect::ToServer { conn, message: ToServer::Release(id), confirm: true });
+            }
+            Stage::Ending(..) => {}
+        }
+    }
+
+    pub(super) fn release_written(&mut self, conn: ServerConn, id: CallId) {
+        let stage = self.calls.live.get(&id).and_then(|c| c.attempt.as_ref()).map(|a| a.stage);
+        if let Some(Stage::Ending(on, outcome)) = stage
+            && on == conn
+        {
+            self.end_attempt(id, outcome, LoadReport::default());
+        }
+    }
+
+    /// The connection of these attempts is lost: they are reset, or ended as was being written.
+    pub(super) fn end_on(&mut self, conn: ServerConn) {
+        let stage_on = |c: &Call| match c.attempt.as_ref().map(|a| a.stage) {
+            Some(Stage::Out(on)) if on == conn => Some(Outcome::Reset),
+            Some(Stage::Ending(on, outcome)) if on == conn => Some(outcome),
+            _ => None,
+        };
+        let ended: Vec<_> =
+            self.calls.live.iter().filter_map(|(&id, c)| stage_on(c).map(|how| (id, how))).collect();
+        for (id, outcome) in ended {
+            self.end_attempt(id, outcome, LoadReport::default());
+        }
+    }
+
+    /// The one place where an attempt that did not come to stand is given back.
+    fn end_attempt(&mut self, id: CallId, outcome: Outcome, report: LoadReport) {
+        let Some(call) = self.calls.live.get_mut(&id) else { return };
+        let Some(attempt) = call.attempt.take() else { return };
+        if matches!(outcome, Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled) {
+            call.guard_until = self.now + self.guard_ms;
+        }
+        let closed = call.answered;
+        self.tell_ended(id, attempt.server, outcome, closed, report);
+        self.tidy(id);
+    }
+
+    fn tell_ended(
+        &mut self,
+        call: CallId,
+        server: ServerId,
+        outcome: Outcome,
+        closed: bool,
+        report: LoadReport,
+    ) {
+        self.news.push_back(module::Event::Ended { call, server, outcome, closed, report });
+    }
+
+    // ---- what call servers say of calls ----
+
+    pub(super) fn answered_by(
+        &mut self,
+        server: ServerId,
+        conn: ServerConn,
+        id: CallId,
+        description: Option<String>,
+        out: &mut Vec<Effect>,
+    ) {
+        let call = self.calls.live.get_mut(&id);
+        if call.as_ref().and_then(|c| c.standing.as_ref()).is_some_and(|s| s.server == server) {
+            return;
+        }
+        let out_there = |a: &Attempt| a.server == server && matches!(a.stage, Stage::Out(_));
+        let call = call.filter(|c| !c.answered && c.attempt.as_ref().is_some_and(out_there));
+        let Some((call, description)) = call.zip(description) else {
+            // It crossed the call's end, or its description is missing: nobody will hear of it, so what
+            // stands there is released. An attempt being called off has its release on the way.
+            let stage = self.calls.live.get(&id).and_then(|c| c.attempt.as_ref()).map(|a| a.stage);
+            match stage {
+                Some(Stage::Out(_)) => self.end_out(id, Outcome::Reset, out),
+                Some(Stage::Ending(on, _)) if on == conn => {}
+                _ => self.release_at(server, Some(conn), id, out),
+            }
+            return;
+        };
+        let Some(attempt) = call.attempt.take() else { return };
+        call.answered = true;
+        call.standing = Some(Standing { server, conn, since: self.now });
+        // A standing call needs neither any more, and it may stand for long.
+        (call.description, call.number) = (String::new(), None);
+        let caller = call.conn;
+        out.push(Effect::ToCaller { conn: caller, message: ToCaller::Answer { call: id, description } });
+        let after_ms = self.now - attempt.sent_at;
+        self.news.push_back(module::Event::Standing { call: id, server, after_ms });
+        self.close_if_done(caller, out);
+    }
+
+    pub(super) fn ended_by(
+        &mut self,
+        server: ServerId,
+        conn: ServerConn,
+        id: CallId,
+        how: Ending,
+        report: LoadReport,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(call) = self.calls.live.get_mut(&id) else {
+            // A call that stood before this program's start is over: its caller is to hear of it.
+            if !self.calls.ended.contains(&id) && matches!(how, Ending::Normal | Ending::Reset) {
+                let how = if how == Ending::Normal { Release::Completed } else { Release::Cut };
+                self.tell_any_caller(CallerConn(0), ToCaller::Released { call: id, how }, out);
+                out.push(Effect::ToServer { conn, message: ToServer::Heard(id), confirm: false });
+            }
+            return;
+        };
+        if call.standing.as_ref().is_some_and(|s| s.server == server) {
+            out.push(Effect::ToServer { conn, message: ToServer::Heard(id), confirm: false });
+            let normal = how == Ending::Normal;
+            return self.over(id, if normal { Release::Completed } else { Release::Cut }, report, out);
+        }
+        if call.attempt.as_ref().is_some_and(|a| a.server == server && matches!(a.stage, Stage::Out(_))) {
+            let outcome = match how {
+                Ending::Full { lines: true } => Outcome::NoLine,
+                Ending::Full { lines: false } => Outcome::ProcessorFull { wait_ms: None },
+                Ending::NotSent => Outcome::NotSent,
+                Ending::Reset => Outcome::Reset,
+                Ending::Error | Ending::Normal => Outcome::Fault,
+            };
+            self.end_attempt(id, outcome, report);
+        }
+    }
+
+    /// A call that stood is over, by no wish of its caller: the caller is told.
+    fn over(&mut self, id: CallId, how: Release, report: LoadReport, out: &mut Vec<Effect>) {
+        let Some(call) = self.calls.live.get_mut(&id) else { return };
+        let Some(standing) = call.standing.take() else { return };
+        let conn = call.conn;
+        self.calls.forget(id);
+        self.tell_any_caller(conn, ToCaller::Released { call: id, how }, out);
+        let outcome = if how == Release::Completed { Outcome::Completed } else { Outcome::Reset };
+        self.tell_ended(id, standing.server, outcome, true, report);
+    }
+
+    /// The call server's process is gone, and what stood there before with it.
+    pub(super) fn cut(&mut self, server: ServerId, before: f64, out: &mut Vec<Effect>) {
+        let stood = |c: &Call| c.standing.as_ref().is_some_and(|s| s.server == server && s.since < before);
+        let cut = self.calls.ids(stood);
+        if !cut.is_empty() {
+            log::info!("{} calls cut at {}", cut.len(), self.fleet.name(server));
+        }
+        for id in cut {
+            self.over(id, Release::Cut, LoadReport::default(), out);
+        }
+    }
+}
+
+impl Attempt {
+    fn waits_for(&self, server: ServerId) -> bool {
+        self.server == server && self.stage == Stage::Waiting
+    }
+}
--- /dev/null
+++ b/src/engine/fleet.rs
@@ -0,0 +1,334 @@
+//! The call servers: the name service's list, the connections to each, and whether it lives.
+
+use super::{Due, Effect, Engine, FromServer, Listing, Lost, ServerConn, ToServer};
+use crate::interface::{self as module, CallId, Listed, Outcome, ServerEntry, ServerId};
+use std::collections::{BTreeMap, HashMap};
+
+/// Connections to one call server at most; the protocol's figure.
+const CONNS_MAX: usize = 4;
+/// One that could not be reached is tried again after this, ms.
+const REDIAL_MS: f64 = 300.0;
+/// A call server tells its state about once a second while calls come and go. One that has work of ours and
+/// says nothing for so long is looked at: a new connection shows whether it lives, ms.
+const SILENT_MS: f64 = 2500.0;
+/// One that has said nothing for so long and takes no connection has vanished, its calls with it, ms. With a
+/// state's second and the look's interval that stays well under the 8 s in which callers must hear of it.
+const VANISHED_MS: f64 = 4000.0;
+/// A call server tells its state at once on a new connection; after this one is as good as not come up, ms.
+const MUTE_MS: f64 = 750.0;
+/// Releases kept for a call server that has no connection open.
+const OWED_MAX: usize = 4096;
+
+struct Conn {
+    id: ServerConn,
+    open: bool,
+    /// Whether anything was heard on it yet, and when that was or, before, when it opened.
+    heard: bool,
+    heard_at: f64,
+}
+
+struct Server {
+    listing: Listing,
+    conns: Vec<Conn>,
+    /// When it last said anything on any connection.
+    heard_at: f64,
+    /// It has told its state, or could not be reached, since it was listed.
+    tried: bool,
+    /// Connections that did not come up since it last said anything.
+    failed: u32,
+    /// Releases that wait for a connection.
+    owed: Vec<CallId>,
+}
+
+#[derive(Default)]
+pub(super) struct Fleet {
+    serial: Option<u32>,
+    ids: HashMap<String, ServerId>,
+    servers: BTreeMap<ServerId, Server>,
+    by_conn: HashMap<ServerConn, ServerId>,
+    dialled: u64,
+}
+
+impl Fleet {
+    pub fn is_ready(&self, server: ServerId) -> bool {
+        self.servers.get(&server).is_some_and(|s| s.listing.state == Listed::Ready)
+    }
+
+    pub fn all_tried(&self) -> bool {
+        self.serial.is_some() && self.servers.values().all(|s| s.tried)
+    }
+
+    pub fn name(&self, server: ServerId) -> &str {
+        self.servers.get(&server).map_or("a call server that is gone", |s| &s.listing.name)
+    }
+
+    /// The open connection on which something was heard last.
+    fn best(&self, server: ServerId) -> Option<ServerConn> {
+        let open = self.servers.get(&server)?.conns.iter().filter(|c| c.open);
+        open.max_by(|a, b| a.heard.cmp(&b.heard).then(a.heard_at.total_cmp(&b.heard_at))).map(|c| c.id)
+    }
+
+    fn is_open(&self, conn: ServerConn) -> bool {
+        let server = self.by_conn.get(&conn).and_then(|id| self.servers.get(id));
+        server.is_some_and(|s| s.conns.iter().any(|c| c.id == conn && c.open))
+    }
+}
+
+impl Server {
+    fn dialling(&self) -> bool {
+        self.conns.iter().any(|c| !c.open)
+    }
+}
+
+impl Engine {
+    // ---- the list ----
+
+    /// A newer list takes the place of the old one: what is missing in it is gone.
+    pub(super) fn follow_list(&mut self, serial: u32, listings: Vec<Listing>, out: &mut Vec<Effect>) {
+        // Serials are compared in sequence space (RFC 1982); answers may come late and out of order.
+        if self.fleet.serial.is_some_and(|known| serial.wrapping_sub(known) as i32 <= 0) {
+            return;
+        }
+        log::info!("list {serial}: {}", describe(&listings));
+        self.fleet.serial = Some(serial);
+        let mut entries = Vec::new();
+        let listings: Vec<Listing> = listings.into_iter().filter(|l| l.state != Listed::Gone).collect();
+        let gone: Vec<ServerId> = self
+            .fleet
+            .servers
+            .iter()
+            .filter(|(_, s)| !listings.iter().any(|l| l.name == s.listing.name))
+            .map(|(&id, _)| id)
+            .collect();
+        for id in gone {
+            self.server_gone(id, out);
+        }
+        for listing in listings {
+            let next = ServerId(self.fleet.ids.len() as u64 + 1);
+            let id = *self.fleet.ids.entry(listing.name.clone()).or_insert(next);
+            let (place, state, started_at) = (listing.place, listing.state, listing.started_at);
+            entries.push(ServerEntry { id, place, state, started_at });
+            self.listed(id, listing, out);
+        }
+        self.news.push_back(module::Event::Servers { complete: true, entries });
+    }
+
+    fn listed(&mut self, id: ServerId, listing: Listing, out: &mut Vec<Effect>) {
+        let now = self.now;
+        let Some(server) = self.fleet.servers.get_mut(&id) else {
+            let server = Server {
+                listing,
+                conns: Vec::new(),
+                heard_at: now,
+                tried: false,
+                failed: 0,
+                owed: Vec::new(),
+            };
+            self.fleet.servers.insert(id, server);
+            return self.dial(id, out);
+        };
+        let old = std::mem::replace(&mut server.listing, listing);
+        let (addr, state, started_at) =
+            (server.listing.addr, server.listing.state, server.listing.started_at);
+        if let Some(at) = started_at.filter(|_| started_at != old.started_at) {
+            // Another process: what stood at the one before was cut with it.
+            self.cut(id, at, out);
+        }
+        if addr != old.addr {
+            self.close_all(id, out);
+            self.dial(id, out);
+        }
+        if state != Listed::Ready {
+            // Nothing new goes to it, also not what waits for a connection.
+            self.end_waiting(id, Outcome::NotSent);
+        }
+    }
+
+    /// The one place where a call server is given back.
+    fn server_gone(&mut self, id: ServerId, out: &mut Vec<Effect>) {
+        self.cut(id, f64::INFINITY, out);
+        self.close_all(id, out);
+        self.end_waiting(id, Outcome::NotSent);
+        self.fleet.servers.remove(&id);
+    }
+
+    // ---- connections ----
+
+    /// An open connection; if there is none, one is on its way.
+    pub(super) fn connection_to(&mut self, server: ServerId, out: &mut Vec<Effect>) -> Option<ServerConn> {
+        let best = self.fleet.best(server);
+        if best.is_none() && self.fleet.servers.get(&server).is_some_and(|s| !s.dialling()) {
+            self.dial(server, out);
+        }
+        best
+    }
+
+    fn dial(&mut self, server: ServerId, out: &mut Vec<Effect>) {
+        let Some(s) = self.fleet.servers.get_mut(&server).filter(|s| s.conns.len() < CONNS_MAX) else {
+            return;
+        };
+        self.fleet.dialled += 1;
+        let conn = ServerConn(self.fleet.dialled);
+        s.conns.push(Conn { id: conn, open: false, heard: false, heard_at: f64::NEG_INFINITY });
+        self.fleet.by_conn.insert(conn, server);
+        out.push(Effect::Dial { conn, addr: s.listing.addr, timeout_ms: self.host.dial_timeout_ms });
+    }
+
+    pub(super) fn redial(&mut self, server: ServerId, out: &mut Vec<Effect>) {
+        if self.fleet.servers.get(&server).is_some_and(|s| s.conns.is_empty()) {
+            self.dial(server, out);
+        }
+    }
+
+    pub(super) fn server_opened(&mut self, conn: ServerConn, out: &mut Vec<Effect>) {
+        let Some(&server) = self.fleet.by_conn.get(&conn) else { return };
+        let Some(s) = self.fleet.servers.get_mut(&server) else { return };
+        if let Some(c) = s.conns.iter_mut().find(|c| c.id == conn) {
+            (c.open, c.heard_at) = (true, self.now);
+        }
+        for call in std::mem::take(&mut s.owed) {
+            out.push(Effect::ToServer { conn, message: ToServer::Release(call), confirm: false });
+        }
+        self.write_waiting(server, conn, out);
+    }
+
+    pub(super) fn server_lost(&mut self, conn: ServerConn, how: Lost, out: &mut Vec<Effect>) {
+        let Some(server) = self.drop_conn(conn) else { return };
+        let Some(s) = self.fleet.servers.get_mut(&server) else { return };
+        let alone = s.conns.is_empty();
+        log::debug!("connection to {}: {how:?}", s.listing.name);
+        match how {
+            // What stood there was cut with the process.
+            Lost::Reset => self.cut(server, f64::INFINITY, out),
+            // Nothing listens: the process is dead. With a connection open it only takes no more of them.
+            Lost::Refused if alone => self.cut(server, f64::INFINITY, out),
+            Lost::Refused | Lost::TimedOut | Lost::Closed => {}
+        }
+        let Some(s) = self.fleet.servers.get_mut(&server) else { return };
+        if matches!(how, Lost::Refused | Lost::TimedOut) {
+            (s.tried, s.failed) = (true, s.failed + 1);
+            if alone {
+                self.end_waiting(server, Outcome::NotConnected);
+                self.timers.set(self.now + REDIAL_MS, Due::Redial(server));
+            }
+        } else if alone {
+            // What ended meanwhile is told on the next connection; refused, it shows that the process died.
+            self.dial(server, out);
+        }
+    }
+
+    /// The one place where a connection to a call server is given back; attempts on it end with it.
+    fn drop_conn(&mut self, conn: ServerConn) -> Option<ServerId> {
+        let server = self.fleet.by_conn.remove(&conn)?;
+        if let Some(s) = self.fleet.servers.get_mut(&server) {
+            s.conns.retain(|c| c.id != conn);
+        }
+        self.end_on(conn);
+        Some(server)
+    }
+
+    fn close(&mut self, conn: ServerConn, out: &mut Vec<Effect>) {
+        if self.drop_conn(conn).is_some() {
+            out.push(Effect::CloseServer(conn));
+        }
+    }
+
+    fn close_all(&mut self, server: ServerId, out: &mut Vec<Effect>) {
+        let Some(s) = self.fleet.servers.get(&server) else { return };
+        for conn in s.conns.iter().map(|c| c.id).collect::<Vec<_>>() {
+            self.close(conn, out);
+        }
+    }
+
+    // ---- what call servers say ----
+
+    pub(super) fn hear_server(&mut self, conn: ServerConn, message: FromServer, out: &mut Vec<Effect>) {
+        let Some(&server) = self.fleet.by_conn.get(&conn) else { return };
+        let now = self.now;
+        if let Some(s) = self.fleet.servers.get_mut(&server) {
+            (s.heard_at, s.tried, s.failed) = (now, true, 0);
+            s.conns.iter_mut().filter(|c| c.id == conn).for_each(|c| (c.heard, c.heard_at) = (true, now));
+        }
+        match message {
+            FromServer::Answer { call, description } => {
+                self.answered_by(server, conn, call, description, out)
+            }
+            FromServer::Ended { call, how, report } => self.ended_by(server, conn, call, how, report, out),
+            FromServer::State(report) => self.news.push_back(module::Event::Lines { server, report }),
+            FromServer::Sign => {}
+        }
+    }
+
+    /// Releases a call at a call server: on this connection, else on any, else on the next.
+    pub(super) fn release_at(
+        &mut self,
+        server: ServerId,
+        conn: Option<ServerConn>,
+        call: CallId,
+        out: &mut Vec<Effect>,
+    ) {
+        let own = conn.filter(|&c| self.fleet.is_open(c));
+        match own.or_else(|| self.fleet.best(server)) {
+            Some(conn) => {
+                out.push(Effect::ToServer { conn, message: ToServer::Release(call), confirm: false });
+            }
+            None => {
+                if let Some(s) = self.fleet.servers.get_mut(&server).filter(|s| s.owed.len() < OWED_MAX) {
+                    s.owed.push(call);
+                }
+            }
+        }
+    }
+
+    pub(super) fn release_everywhere(&mut self, call: CallId, out: &mut Vec<Effect>) {
+        for server in self.fleet.servers.keys().copied().collect::<Vec<_>>() {
+            self.release_at(server, None, call, out);
+        }
+    }
+
+    // ---- liveness ----
+
+    pub(super) fn look(&mut self, out: &mut Vec<Effect>) {
+        for server in self.fleet.servers.keys().copied().collect::<Vec<_>>() {
+            self.look_at(server, out);
+        }
+    }
+
+    /// A machine that vanished says nothing and keeps its connections open: it shows only in that no new one
+    /// comes up. One that lives tells its state first of all on a new one.
+    fn look_at(&mut self, server: ServerId, out: &mut Vec<Effect>) {
+        let Some(s) = self.fleet.servers.get(&server) else { return };
+        let silent_ms = self.now - s.heard_at;
+        // The system may take a connection that nobody behind it answers.
+        let mute = |c: &Conn| c.open && !c.heard && self.now - c.heard_at >= MUTE_MS;
+        if silent_ms < SILENT_MS {
+            // Alive: a connection that stayed silent while another spoke, with nothing open on it, is stale.
+            let stale = |c: &&Conn| c.open && self.now - c.heard_at >= VANISHED_MS;
+            let stale: Vec<ServerConn> = s.conns.iter().filter(stale).map(|c| c.id).collect();
+            if s.conns.iter().any(|c| c.open && !stale.contains(&c.id)) {
+                for conn in stale {
+                    if !self.calls.any_on(conn) {
+                        self.close(conn, out);
+                    }
+                }
+            }
+        } else if !self.calls.any_at(server) {
+            // Nothing of ours is there: its silence says nothing, and may be just quiet.
+        } else if silent_ms >= VANISHED_MS && (s.failed > 0 || s.conns.iter().any(mute)) {
+            log::warn!("{} has vanished: silent for {silent_ms:.0} ms", s.listing.name);
+            self.cut(server, f64::INFINITY, out);
+            self.close_all(server, out);
+            self.redial(server, out);
+        } else if !s.dialling() {
+            self.dial(server, out);
+        }
+    }
+}
+
+fn describe(listings: &[Listing]) -> String {
+    let one = |l: &Listing| {
+        let started = l.started_at.map_or(String::new(), |at| format!(" started {at:.0}"));
+        format!("{} at {} place {} {:?}{started}", l.name, l.addr, l.place, l.state)
+    };
+    listings.iter().map(one).collect::<Vec<_>>().join("; ")
+}
--- /dev/null
+++ b/src/engine/messages.rs
@@ -0,0 +1,217 @@
+//! What the reducer hears and asks for, in no protocol's words: each front has its own codec for these.
+
+use crate::interface::{CallId, Listed, LoadReport};
+use std::net::SocketAddr;
+
+/// A connection from callers, as the driver numbers it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CallerConn(pub u64);
+
+/// A connection to a call server, as the reducer numbers it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ServerConn(pub u64);
+
+/// A set-up as its caller sent it.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct SetUp {
+    pub call: CallId,
+    pub class: String,
+    /// How long the caller waits for the answer.
+    pub wait_ms: f64,
+    pub redial: bool,
+    pub number: Option<String>,
+    /// Place of the call server of first choice.
+    pub first_choice: Option<u32>,
+    pub description: String,
+}
+
+/// Why a set-up can't be read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    Missing,
+    Invalid,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum FromCaller {
+    SetUp(SetUp),
+    /// A set-up of which only the id could be read.
+    Unreadable {
+        call: CallId,
+        fault: Fault,
+    },
+    /// The set-up is given up, or the standing call released.
+    Release(CallId),
+    Test(CallId),
+}
+
+/// How a call that stood came to its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Release {
+    Completed,
+    Cut,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum ToCaller {
+    /// The call stands.
+    Answer {
+        call: CallId,
+        description: String,
+    },
+    Refused {
+        call: CallId,
+        stay_away_ms: f64,
+    },
+    Failed(CallId),
+    Unreadable {
+        call: CallId,
+        fault: Fault,
+    },
+    Released {
+        call: CallId,
+        how: Release,
+    },
+    /// A release was heard.
+    Heard(CallId),
+    Tested {
+        call: CallId,
+        passed: bool,
+    },
+}
+
+/// How a call server ended a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// It came to its end.
+    Normal,
+    /// Full; `lines`: it was a line that lacked.
+    Full {
+        lines: bool,
+    },
+    Error,
+    /// It never left.
+    NotSent,
+    /// It was cut, or the set-up broke on its way.
+    Reset,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum FromServer {
+    /// The call stands; without a description nobody could be told so.
+    Answer {
+        call: CallId,
+        description: Option<String>,
+    },
+    Ended {
+        call: CallId,
+        how: Ending,
+        report: LoadReport,
+    },
+    State(LoadReport),
+    /// It means nothing but that the call server is there.
+    Sign,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum ToServer {
+    SetUp { call: CallId, class: String, left_ms: u64, number: Option<String>, description: String },
+    Release(CallId),
+    Heard(CallId),
+}
+
+impl ToServer {
+    pub fn call(&self) -> CallId {
+        match self {
+            ToServer::SetUp { call, .. } | ToServer::Release(call) | ToServer::Heard(call) => *call,
+        }
+    }
+}
+
+/// One call server in the name service's list.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Listing {
+    pub name: String,
+    pub addr: SocketAddr,
+    pub place: u32,
+    pub state: Listed,
+    /// Unix millisecond of a late start.
+    pub started_at: Option<f64>,
+}
+
+/// How a connection to a call server ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Lost {
+    /// In order, or in a way that says nothing of the calls.
+    Closed,
+    /// Reset: the process died.
+    Reset,
+    /// Nothing listens there.
+    Refused,
+    /// It did not come up in time.
+    TimedOut,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    CallerOpened(CallerConn),
+    /// `read_at`: when it had come in, which may be well before its turn.
+    Caller {
+        conn: CallerConn,
+        read_at: f64,
+        message: FromCaller,
+    },
+    /// The caller sends no more on it, but may still read.
+    CallerEof(CallerConn),
+    /// `unsent`: what could not be written.
+    CallerClosed {
+        conn: CallerConn,
+        unsent: Vec<ToCaller>,
+    },
+    ServerOpened(ServerConn),
+    Server {
+        conn: ServerConn,
+        message: FromServer,
+    },
+    /// A release that the reducer wanted to know of has been written.
+    Written {
+        conn: ServerConn,
+        call: CallId,
+    },
+    ServerLost {
+        conn: ServerConn,
+        how: Lost,
+    },
+    /// The name service's list, whole.
+    List {
+        serial: u32,
+        servers: Vec<Listing>,
+    },
+    /// A timer may be due.
+    Tick,
+    /// A planned stop.
+    Stop,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    ToCaller {
+        conn: CallerConn,
+        message: ToCaller,
+    },
+    CloseCaller(CallerConn),
+    Dial {
+        conn: ServerConn,
+        addr: SocketAddr,
+        timeout_ms: f64,
+    },
+    /// `confirm`: a `Written` is wanted once it is.
+    ToServer {
+        conn: ServerConn,
+        message: ToServer,
+        confirm: bool,
+    },
+    CloseServer(ServerConn),
+    /// All that was taken is answered.
+    Exit,
+}
--- /dev/null
+++ b/src/engine/mod.rs
@@ -0,0 +1,190 @@
+//! The reducer: every change of state happens in [`Engine::step`], which reads no clock and touches no socket.
+//!
+//! It owns calls, attempts, the list of call servers and the timers, and hosts the decision module. What the
+//! module decides becomes effects here, and here alone the rules that hold on sockets are guarded: one final
+//! answer, one attempt at a time, nothing new to a call server that drains, the release guard.
+
+mod calls;
+mod fleet;
+mod messages;
+mod timers;
+
+pub use messages::*;
+
+use crate::interface::{self as module, Action, CallId, Outcome, ServerId, Settings};
+use crate::policy::Controller;
+use crate::settings::HostSettings;
+use calls::Calls;
+use fleet::Fleet;
+use std::collections::VecDeque;
+use timers::Timers;
+
+/// After a planned stop begins, set-ups are taken for so long, ms: the front still sends some.
+const STOP_TAKES_MS: f64 = 700.0;
+/// A start waits no longer for the call servers' first words before tests pass, ms.
+const READY_ANYWAY_MS: f64 = 3000.0;
+/// A call server's liveness is looked at so often, ms.
+const LOOK_MS: f64 = 250.0;
+
+/// What a timer is for.
+#[derive(Clone, Copy, Debug)]
+enum Due {
+    /// The module asked for it.
+    Module(u64),
+    /// The caller's time is over.
+    CallOver(CallId),
+    /// This attempt's own time-out.
+    AttemptOver(CallId, u32),
+    /// No connection came up for this attempt in time.
+    DialOver(CallId, u32),
+    Redial(ServerId),
+    Look,
+    /// Set-ups are taken no more.
+    Stopped,
+}
+
+pub struct Engine {
+    controller: Controller,
+    host: HostSettings,
+    guard_ms: f64,
+    max_attempts: u32,
+    calls: Calls,
+    fleet: Fleet,
+    timers: Timers<Due>,
+    /// What the module is yet to be told.
+    news: VecDeque<module::Event>,
+    /// The latest time seen: the module's time never goes back.
+    now: f64,
+    started: f64,
+    stopping: Option<f64>,
+    exiting: bool,
+}
+
+impl Engine {
+    /// A border controller at its start; the list follows as an event.
+    pub fn new(settings: Settings, host: HostSettings, seed: u64, now: f64) -> Self {
+        let mut timers = Timers::default();
+        timers.set(now + LOOK_MS, Due::Look);
+        Engine {
+            guard_ms: settings.guard_ms,
+            max_attempts: settings.max_attempts,
+            controller: Controller::new(settings, seed, now),
+            host,
+            calls: Calls::default(),
+            fleet: Fleet::default(),
+            timers,
+            news: VecDeque::new(),
+            now,
+            started: now,
+            stopping: None,
+            exiting: false,
+        }
+    }
+
+    /// When the next timer is due.
+    pub fn next_due(&self) -> Option<f64> {
+        self.timers.next_ms()
+    }
+
+    /// Takes one event; what is to be done about it is appended.
+    pub fn step(&mut self, now: f64, event: Event, out: &mut Vec<Effect>) {
+        // The system's clock may be set back under a running program; the module's never is.
+        self.now = self.now.max(now);
+        match event {
+            Event::CallerOpened(conn) => self.caller_opened(conn, out),
+            Event::Caller { conn, read_at, message } => self.hear_caller(conn, read_at, message, out),
+            Event::CallerEof(conn) => self.caller_eof(conn, out),
+            Event::CallerClosed { conn, unsent } => self.caller_closed(conn, unsent, out),
+            Event::ServerOpened(conn) => self.server_opened(conn, out),
+            Event::Server { conn, message } => self.hear_server(conn, message, out),
+            Event::Written { conn, call } => self.release_written(conn, call),
+            Event::ServerLost { conn, how } => self.server_lost(conn, how, out),
+            Event::List { serial, servers } => self.follow_list(serial, servers, out),
+            Event::Tick => {}
+            Event::Stop => self.stop(),
+        }
+        self.settle(out);
+        while let Some(due) = self.timers.pop(self.now) {
+            self.fire(due, out);
+            self.settle(out);
+        }
+        if self.may_exit() && !self.exiting {
+            self.exiting = true;
+            out.push(Effect::Exit);
+        }
+    }
+
+    /// Hands the module its news until it has nothing more to say.
+    fn settle(&mut self, out: &mut Vec<Effect>) {
+        let mut actions = Vec::new();
+        while let Some(event) = self.news.pop_front() {
+            self.controller.handle(self.now, event, &mut actions);
+            for action in actions.drain(..) {
+                self.act(action, out);
+            }
+        }
+    }
+
+    fn act(&mut self, action: Action, out: &mut Vec<Effect>) {
+        match action {
+            Action::Send { call, server, timeout_ms } => self.send(call, server, timeout_ms, out),
+            Action::Cancel { call, attempt } => {
+                if self.calls.attempt_number(call) == Some(attempt) {
+                    self.end_out(call, Outcome::Cancelled, out);
+                }
+            }
+            Action::Refuse { call, stay_away_ms } => {
+                self.answer(call, ToCaller::Refused { call, stay_away_ms }, out);
+            }
+            Action::Fail(call) => self.answer(call, ToCaller::Failed(call), out),
+            Action::Timer { at, token } => self.timers.set(at, Due::Module(token)),
+            Action::Log(text) => log::info!("{text}"),
+            // Border controllers may not probe here and share nothing; the settings tell the module so.
+            Action::Probe(_) | Action::TellAll { .. } => {
+                log::error!("the module asked for what is not allowed")
+            }
+        }
+    }
+
+    fn fire(&mut self, due: Due, out: &mut Vec<Effect>) {
+        match due {
+            Due::Module(token) => self.news.push_back(module::Event::Timer(token)),
+            Due::CallOver(call) => self.call_over(call, out),
+            Due::AttemptOver(call, attempt) => {
+                if self.calls.attempt_number(call) == Some(attempt) {
+                    self.end_out(call, Outcome::TimedOut, out);
+                }
+            }
+            Due::DialOver(call, attempt) => self.dial_over(call, attempt),
+            Due::Redial(server) => self.redial(server, out),
+            Due::Look => {
+                self.look(out);
+                self.timers.set(self.now + LOOK_MS, Due::Look);
+            }
+            Due::Stopped => log::info!("set-ups are taken no more"),
+        }
+    }
+
+    // ---- start and stop ----
+
+    /// Work may come: every call server has told its state or could not be reached.
+    fn ready(&self) -> bool {
+        self.stopping.is_none() && (self.fleet.all_tried() || self.now - self.started >= READY_ANYWAY_MS)
+    }
+
+    fn stop(&mut self) {
+        if self.stopping.is_none() {
+            log::info!("stopping once all that was taken is answered");
+            self.stopping = Some(self.now);
+            self.timers.set(self.now + STOP_TAKES_MS, Due::Stopped);
+        }
+    }
+
+    fn takes_calls(&self) -> bool {
+        self.stopping.is_none_or(|at| self.now - at < STOP_TAKES_MS)
+    }
+
+    fn may_exit(&self) -> bool {
+        !self.takes_calls() && self.calls.none_in_set_up()
+    }
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -53,6 +53,8 @@
     pub may_probe: bool,
     pub may_cancel: bool,
     pub may_tell: bool,
+    /// The longest advice to stay away that callers heed; 0: none may be given.
+    pub stay_away_max_ms: f64,
     /// Attempts a call may have in all.
     pub max_attempts: u32,
     /// No further attempt within this time of a timeout, reset or cancellation.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,13 +1,14 @@
-//! Decisions of a controller that says which call set-ups go to which central server.
+//! A border controller that says which call set-ups go to which central server.
 //!
 //! Each sender refuses first set-ups to a core server with a probability *b*, set by Berger's
 //! percent-blocking formula from that server's late load reports, and kept by each sender for each
-//! server. The crate does no I/O, reads no clock and starts no thread: the host hands every event to
+//! server. The decision module (`interface`, `policy`) does no I/O, reads no clock and starts no thread: the
+//! host hands every event to
 //! [`Controller::handle`] with the time at which it happened, and carries out the actions that come back.
 //! The same events give the same actions.
 //!
 //! ```
-//! use sorrelflow::{Action, Call, CallId, Class, Controller, Event, Listed, ServerEntry, ServerId, Settings};
+//! use corkreach::{Action, Call, CallId, Class, Controller, Event, Listed, ServerEntry, ServerId, Settings};
 //!
 //! let settings = Settings {
 //!     classes: vec![Class { target_ms: 1500.0, deadline_ms: 9000.0, worth: 1.0, late_worth: 0.25 }],
@@ -26,8 +27,13 @@
 //! assert!(actions.iter().any(|a| matches!(a, Action::Send { call: CallId(42), server: ServerId(1), .. })));
 //! ```
 
+pub mod config;
+pub mod engine;
 pub mod interface;
+pub mod logger;
+pub mod net;
 pub mod policy;
+pub mod settings;
 
 pub use interface::*;
 pub use policy::Controller;
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,110 @@
+//! The command line of the border controller.
+
+use argh::{EarlyExit, FromArgs};
+use corkreach::{config, logger, net};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// A border controller for call set-ups towards a few call servers.
+#[derive(FromArgs)]
+struct Args {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Serve(Serve),
+    Check(Check),
+    Version(Version),
+}
+
+/// Serve callers until SIGTERM.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "serve")]
+struct Serve {
+    /// configuration file (else GW_CONFIG)
+    #[argh(option)]
+    config: Option<PathBuf>,
+    /// address to listen on (else GW_LISTEN, else the configuration's)
+    #[argh(option)]
+    listen: Option<SocketAddr>,
+    /// least weighty log lines written: error, warn, info, debug or trace (info)
+    #[argh(option, default = "log::LevelFilter::Info")]
+    log: log::LevelFilter,
+}
+
+/// Read a configuration and say whether it will do.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "check")]
+struct Check {
+    /// configuration file (else GW_CONFIG)
+    #[argh(option)]
+    config: Option<PathBuf>,
+}
+
+/// Print the version.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "version")]
+struct Version {}
+
+fn read(path: Option<PathBuf>, listen: Option<SocketAddr>) -> Result<config::Config, String> {
+    let variable = |name: &str| std::env::var(name).ok().filter(|v| !v.is_empty());
+    let path = path.or_else(|| variable("GW_CONFIG").map(PathBuf::from));
+    let path = path.ok_or("no configuration: give --config or set GW_CONFIG")?;
+    let listen = match (listen, variable("GW_LISTEN")) {
+        (None, Some(text)) => Some(text.parse().map_err(|e| format!("GW_LISTEN {text}: {e}"))?),
+        (listen, _) => listen,
+    };
+    config::read(&path, listen, variable("GW_NAME"))
+}
+
+fn run(command: Command) -> Result<(), String> {
+    match command {
+        Command::Serve(serve) => {
+            let config = read(serve.config, serve.listen)?;
+            logger::start(&config.name, serve.log)?;
+            net::driver::run(config)
+        }
+        Command::Check(check) => {
+            let config = read(check.config, None)?;
+            println!(
+                "{}: {} call servers known, listening on {}",
+                config.name,
+                config.known.len(),
+                config.listen
+            );
+            Ok(())
+        }
+        Command::Version(_) => {
+            println!("corkreach {}", env!("CARGO_PKG_VERSION"));
+            Ok(())
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let arguments: Vec<&str> = arguments.iter().map(String::as_str).collect();
+    let result = match Args::from_args(&["corkreach"], &arguments) {
+        Ok(args) => run(args.command),
+        Err(EarlyExit { output, status: Ok(()) }) => {
+            println!("{output}");
+            Ok(())
+        }
+        // The first line says what is wrong; the rest is the usage.
+        Err(EarlyExit { output, .. }) => {
+            let lines: Vec<&str> = output.lines().map(str::trim).filter(|l| !l.is_empty()).collect();
+            Err(lines.iter().take_while(|l| !l.starts_with("Run ")).copied().collect::<Vec<_>>().join(" "))
+        }
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(message) => {
+            eprintln!("corkreach: {message}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/src/net/callers.rs
@@ -0,0 +1,247 @@
+//! Callers: the binary codec and their connections.
+
+use super::{MESSAGE_MAX, WRITE_STALL};
+use crate::engine::{CallerConn, Event, Fault, FromCaller, Release, SetUp, ToCaller};
+use crate::interface::CallId;
+use crate::net::driver::Clock;
+use bytes::{Buf, BufMut, BytesMut};
+use futures_util::{SinkExt, StreamExt};
+use std::io;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+use tokio_util::codec::{Decoder, Encoder, Framed};
+
+const SET_UP: u8 = 1;
+const ANSWER: u8 = 9;
+const RELEASE: u8 = 12;
+const HEARD: u8 = 16;
+const TEST: u8 = 52;
+const TESTED: u8 = 53;
+
+const CLASS: u8 = 129;
+const WAIT: u8 = 130;
+const RETRY: u8 = 132;
+const NUMBER: u8 = 133;
+const EXTRAS: u8 = 134;
+const STAY_AWAY: u8 = 135;
+const CAUSE: u8 = 143;
+const DESCRIPTION: u8 = 144;
+
+/// Causes of Q.850.
+const NORMAL: u8 = 16;
+const TEMPORARY_FAILURE: u8 = 41;
+const CONGESTION: u8 = 42;
+const MISSING_ELEMENT: u8 = 96;
+const INVALID_ELEMENT: u8 = 100;
+
+/// Type and call id, which the length counts.
+const HEAD: usize = 9;
+/// A description is refused if its JSON is longer: the line to a call server holds the other fields as well.
+const DESCRIPTION_JSON_MAX: usize = MESSAGE_MAX - 1024;
+/// So are other fields that go on.
+const FIELD_MAX: usize = 128;
+
+/// Frames and reads callers' messages.
+pub struct Codec;
+
+impl Decoder for Codec {
+    type Item = FromCaller;
+    type Error = io::Error;
+
+    fn decode(&mut self, bytes: &mut BytesMut) -> io::Result<Option<FromCaller>> {
+        while bytes.len() >= 2 {
+            let length = usize::from(u16::from_be_bytes([bytes[0], bytes[1]]));
+            // Nothing that follows such a length can be told apart: the connection is of no more use.
+            if !(HEAD..=MESSAGE_MAX - 2).contains(&length) {
+                let text = format!("a message of {length} bytes");
+                return Err(io::Error::new(io::ErrorKind::InvalidData, text));
+            }
+            if bytes.len() < 2 + length {
+                bytes.reserve(2 + length - bytes.len());
+                return Ok(None);
+            }
+            bytes.advance(2);
+            if let Some(message) = read(&bytes.split_to(length)) {
+                return Ok(Some(message));
+            }
+        }
+        Ok(None)
+    }
+}
+
+/// Reads a message; those of unknown type, or without meaning here, are passed over.
+fn read(message: &[u8]) -> Option<FromCaller> {
+    let (head, parameters) = message.split_at_checked(HEAD)?;
+    let call = CallId(u64::from_be_bytes(head[1..].try_into().ok()?));
+    match head[0] {
+        SET_UP => Some(match set_up(call, parameters) {
+            Ok(set_up) => FromCaller::SetUp(set_up),
+            Err(fault) => FromCaller::Unreadable { call, fault },
+        }),
+        RELEASE => Some(FromCaller::Release(call)),
+        TEST => Some(FromCaller::Test(call)),
+        _ => None,
+    }
+}
+
+fn set_up(call: CallId, mut parameters: &[u8]) -> Result<SetUp, Fault> {
+    let (mut class, mut wait, mut description) = (None, None, None);
+    let mut set_up = SetUp { call, ..SetUp::default() };
+    while !parameters.is_empty() {
+        let (code, value, rest) = parameter(parameters).ok_or(Fault::Invalid)?;
+        parameters = rest;
+        let text = || std::str::from_utf8(value).map_err(|_| Fault::Invalid);
+        match code {
+            CLASS => class = Some(text()?),
+            WAIT => wait = Some(text()?),
+            RETRY => set_up.redial = text()? == "1",
+            NUMBER => set_up.number = Some(text()?).filter(|n| !n.is_empty()).map(str::to_owned),
+            EXTRAS => set_up.first_choice = first_choice(text()?),
+            DESCRIPTION => description = Some(text()?),
+            _ => {}
+        }
+    }
+    set_up.class = class.ok_or(Fault::Missing)?.to_owned();
+    set_up.description = description.ok_or(Fault::Missing)?.to_owned();
+    let wait: f64 = wait.ok_or(Fault::Missing)?.trim().parse().map_err(|_| Fault::Invalid)?;
+    set_up.wait_ms = Some(wait).filter(|w| w.is_finite() && *w >= 0.0).ok_or(Fault::Invalid)?;
+    let number = set_up.number.as_ref().map_or(0, |n| n.len());
+    if json_len(&set_up.description) > DESCRIPTION_JSON_MAX || number.max(set_up.class.len()) > FIELD_MAX {
+        return Err(Fault::Invalid);
+    }
+    Ok(set_up)
+}
+
+/// Code and value of the first parameter, and what follows it.
+fn parameter(bytes: &[u8]) -> Option<(u8, &[u8], &[u8])> {
+    let (head, rest) = bytes.split_at_checked(3)?;
+    let (value, rest) = rest.split_at_checked(usize::from(u16::from_be_bytes([head[1], head[2]])))?;
+    Some((head[0], value, rest))
+}
+
+/// The call server of first choice, out of `dest:2;width:1;via:-1`.
+fn first_choice(extras: &str) -> Option<u32> {
+    let dest = extras.split(';').find_map(|field| field.trim().strip_prefix("dest:"))?;
+    let dest: f64 = dest.parse().ok()?;
+    (dest >= 0.0 && dest <= f64::from(u16::MAX)).then_some(dest as u32)
+}
+
+/// Bytes that a text takes in JSON.
+fn json_len(text: &str) -> usize {
+    serde_json::to_string(text).map_or(usize::MAX, |json| json.len())
+}
+
+impl Encoder<ToCaller> for Codec {
+    type Error = io::Error;
+
+    fn encode(&mut self, message: ToCaller, bytes: &mut BytesMut) -> io::Result<()> {
+        let mut parameters = BytesMut::new();
+        let mut put = |code: u8, value: &[u8]| -> io::Result<()> {
+            let length = u16::try_from(value.len()).map_err(|_| io::ErrorKind::InvalidInput)?;
+            parameters.put_u8(code);
+            parameters.put_u16(length);
+            parameters.put_slice(value);
+            Ok(())
+        };
+        let (kind, call) = match message {
+            ToCaller::Answer { call, description } => {
+                put(DESCRIPTION, description.as_bytes())?;
+                (ANSWER, call)
+            }
+            ToCaller::Refused { call, stay_away_ms } => {
+                put(CAUSE, &[CONGESTION])?;
+                if stay_away_ms >= 1.0 {
+                    put(STAY_AWAY, (stay_away_ms as u64).to_string().as_bytes())?;
+                }
+                (RELEASE, call)
+            }
+            ToCaller::Failed(call) => {
+                put(CAUSE, &[TEMPORARY_FAILURE])?;
+                (RELEASE, call)
+            }
+            ToCaller::Unreadable { call, fault } => {
+                put(CAUSE, &[if fault == Fault::Missing { MISSING_ELEMENT } else { INVALID_ELEMENT }])?;
+                (RELEASE, call)
+            }
+            ToCaller::Released { call, how } => {
+                put(CAUSE, &[if how == Release::Completed { NORMAL } else { TEMPORARY_FAILURE }])?;
+                (RELEASE, call)
+            }
+            ToCaller::Heard(call) => (HEARD, call),
+            ToCaller::Tested { call, passed } => {
+                put(CAUSE, &[u8::from(passed)])?;
+                (TESTED, call)
+            }
+        };
+        let length = HEAD + parameters.len();
+        if 2 + length > MESSAGE_MAX {
+            return Err(io::ErrorKind::InvalidInput.into());
+        }
+        bytes.reserve(2 + length);
+        bytes.put_u16(length as u16);
+        bytes.put_u8(kind);
+        bytes.put_u64(call.0);
+        bytes.put_slice(&parameters);
+        Ok(())
+    }
+}
+
+/// Serves one connection until either side ends it. The task owns the stream; the engine closes it by letting
+/// go of the queue's other end.
+pub async fn serve(
+    stream: TcpStream,
+    conn: CallerConn,
+    mut queue: mpsc::Receiver<ToCaller>,
+    events: mpsc::Sender<Event>,
+    clock: Clock,
+) {
+    let mut framed = Framed::new(stream, Codec);
+    let mut reading = true;
+    let mut unsent = Vec::new();
+    loop {
+        tokio::select! {
+            message = queue.recv() => {
+                let Some(message) = message else { break };
+                let mut batch = vec![message];
+                while let Ok(message) = queue.try_recv() {
+                    batch.push(message);
+                }
+                if let Err(e) = write(&mut framed, &batch).await {
+                    log::debug!("caller {}: {e}", conn.0);
+                    unsent = batch;
+                    break;
+                }
+            }
+            message = framed.next(), if reading => {
+                let event = match message {
+                    Some(Ok(message)) => Event::Caller { conn, read_at: clock.read_at(), message },
+                    Some(Err(e)) => {
+                        log::info!("caller {}: {e}", conn.0);
+                        break;
+                    }
+                    None => {
+                        reading = false;
+                        Event::CallerEof(conn)
+                    }
+                };
+                if events.send(event).await.is_err() {
+                    break;
+                }
+            }
+        }
+    }
+    queue.close();
+    while let Ok(message) = queue.try_recv() {
+        unsent.push(message);
+    }
+    drop(framed);
+    let _ = events.send(Event::CallerClosed { conn, unsent }).await;
+}
+
+async fn write(framed: &mut Framed<TcpStream, Codec>, batch: &[ToCaller]) -> io::Result<()> {
+    for message in batch {
+        framed.feed(message.clone()).await?;
+    }
+    timeout(WRITE_STALL, framed.flush()).await.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?
+}
--- /dev/null
+++ b/src/net/driver.rs
@@ -0,0 +1,205 @@
+//! Performs the reducer's effects: one queue of events in, one clock, one loop.
+
+use super::servers::Order;
+use super::{WRITE_QUEUE, callers, names, servers};
+use crate::config::Config;
+use crate::engine::{CallerConn, Effect, Engine, Event, ServerConn, ToCaller};
+use std::cell::Cell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::mpsc;
+use tokio::task::{JoinSet, LocalSet};
+use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
+
+/// Events that may wait for the reducer; a connection that has more to say waits.
+const EVENT_QUEUE: usize = 1024;
+/// Events taken before the effects of all are performed.
+const BATCH: usize = 256;
+/// What is written at the end is waited for at most so long.
+const LAST_WRITES: Duration = Duration::from_secs(2);
+/// No descriptor is free: the next connection is taken up after this.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// How often it is noted that the loop turns; a message read after a stall may have lain for all of it.
+const PULSE: Duration = Duration::from_millis(10);
+
+/// Unix milliseconds, and how long the loop last stood still.
+#[derive(Clone, Default)]
+pub struct Clock {
+    pulse: Rc<Cell<Option<f64>>>,
+}
+
+impl Clock {
+    pub fn now(&self) -> f64 {
+        SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64() * 1000.0
+    }
+
+    /// When what is read now may have come in: a stalled loop reads late, and callers count from their send.
+    pub fn read_at(&self) -> f64 {
+        let now = self.now();
+        let turning = self.pulse.get().map_or(now, |at| at + 2.0 * PULSE.as_secs_f64() * 1000.0);
+        now.min(turning)
+    }
+}
+
+/// Runs the border controller until it is stopped.
+pub fn run(config: Config) -> Result<(), String> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
+    LocalSet::new().block_on(&runtime, serve(config))
+}
+
+async fn serve(config: Config) -> Result<(), String> {
+    let listener = TcpListener::bind(config.listen).await;
+    let listener = listener.map_err(|e| format!("listening on {}: {e}", config.listen))?;
+    let mut stops = signal(SignalKind::terminate()).map_err(|e| format!("signals: {e}"))?;
+    let (sender, mut events) = mpsc::channel(EVENT_QUEUE);
+    let mut driver = Driver::new(&config, sender.clone());
+    tokio::task::spawn_local(beat(driver.clock.clone()));
+    tokio::task::spawn_local(async move {
+        if let Err(e) = names::poll(config.names, config.seed, sender).await {
+            log::error!("name service: {e}");
+        }
+    });
+    log::info!("listening on {}", config.listen);
+    driver.step(Event::List { serial: config.serial, servers: config.known });
+    while !driver.exiting {
+        let wait = driver.engine.next_due().map_or(1000.0, |due| due - driver.clock.now()).clamp(0.0, 1000.0);
+        tokio::select! {
+            Some(event) = events.recv() => {
+                driver.step(event);
+                for _ in 0..BATCH {
+                    let Ok(event) = events.try_recv() else { break };
+                    driver.step(event);
+                }
+            }
+            accepted = listener.accept(), if driver.callers.len() < driver.callers_max => match accepted {
+                Ok((stream, _)) => driver.accept(stream),
+                Err(e) => {
+                    log::warn!("accepting: {e}");
+                    sleep(ACCEPT_PAUSE).await;
+                }
+            },
+            _ = stops.recv() => driver.step(Event::Stop),
+            () = sleep(Duration::from_secs_f64(wait / 1000.0)) => driver.step(Event::Tick),
+        }
+    }
+    driver.finish().await;
+    Ok(())
+}
+
+async fn beat(clock: Clock) {
+    let mut ticks = interval(PULSE);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        clock.pulse.set(Some(clock.now()));
+    }
+}
+
+/// Owns the reducer and the near end of every connection's queue.
+struct Driver {
+    engine: Engine,
+    clock: Clock,
+    events: mpsc::Sender<Event>,
+    callers: HashMap<CallerConn, mpsc::Sender<ToCaller>>,
+    callers_max: usize,
+    accepted: u64,
+    servers: HashMap<ServerConn, mpsc::Sender<Order>>,
+    tasks: JoinSet<()>,
+    effects: Vec<Effect>,
+    exiting: bool,
+}
+
+impl Driver {
+    fn new(config: &Config, events: mpsc::Sender<Event>) -> Self {
+        let clock = Clock::default();
+        let engine = Engine::new(config.settings.clone(), config.host.clone(), config.seed, clock.now());
+        Driver {
+            engine,
+            clock,
+            events,
+            callers: HashMap::new(),
+            // Callers hold a third of the descriptors at most; the rest is for call servers and the program.
+            callers_max: (config.sockets / 2).max(1),
+            accepted: 0,
+            servers: HashMap::new(),
+            tasks: JoinSet::new(),
+            effects: Vec::new(),
+            exiting: false,
+        }
+    }
+
+    fn step(&mut self, event: Event) {
+        let closed = match &event {
+            Event::CallerClosed { conn, .. } => self.callers.remove(conn).is_some(),
+            Event::ServerLost { conn, .. } => self.servers.remove(conn).is_some(),
+            _ => false,
+        };
+        if closed {
+            while self.tasks.try_join_next().is_some() {}
+        }
+        let mut effects = std::mem::take(&mut self.effects);
+        self.engine.step(self.clock.now(), event, &mut effects);
+        for effect in effects.drain(..) {
+            self.perform(effect);
+        }
+        self.effects = effects;
+    }
+
+    fn perform(&mut self, effect: Effect) {
+        match effect {
+            Effect::ToCaller { conn, message } => {
+                let full = self.callers.get(&conn).is_some_and(|queue| queue.try_send(message).is_err());
+                if full {
+                    // A peer that takes nothing is given up; its task tells the reducer.
+                    self.callers.remove(&conn);
+                }
+            }
+            Effect::CloseCaller(conn) => {
+                self.callers.remove(&conn);
+            }
+            Effect::Dial { conn, addr, timeout_ms } => {
+                let (queue, orders) = mpsc::channel(WRITE_QUEUE);
+                self.servers.insert(conn, queue);
+                let timeout = Duration::from_secs_f64(timeout_ms.clamp(1.0, 60_000.0) / 1000.0);
+                self.tasks.spawn_local(servers::serve(addr, timeout, conn, orders, self.events.clone()));
+            }
+            Effect::ToServer { conn, message, confirm } => {
+                let full = self.servers.get(&conn).is_some_and(|q| q.try_send((message, confirm)).is_err());
+                if full {
+                    self.servers.remove(&conn);
+                }
+            }
+            Effect::CloseServer(conn) => {
+                self.servers.remove(&conn);
+            }
+            Effect::Exit => self.exiting = true,
+        }
+    }
+
+    fn accept(&mut self, stream: TcpStream) {
+        if let Err(e) = stream.set_nodelay(true) {
+            log::debug!("a caller's connection: {e}");
+        }
+        self.accepted += 1;
+        let conn = CallerConn(self.accepted);
+        let (queue, messages) = mpsc::channel(WRITE_QUEUE);
+        self.callers.insert(conn, queue);
+        let (events, clock) = (self.events.clone(), self.clock.clone());
+        self.tasks.spawn_local(callers::serve(stream, conn, messages, events, clock));
+        self.step(Event::CallerOpened(conn));
+    }
+
+    /// Lets every connection write what it still has, then ends.
+    async fn finish(mut self) {
+        self.callers.clear();
+        self.servers.clear();
+        let all = async { while self.tasks.join_next().await.is_some() {} };
+        if timeout(LAST_WRITES, all).await.is_err() {
+            log::warn!("some last answers could not be written");
+        }
+    }
+}
--- /dev/null
+++ b/src/net/servers.rs
@@ -0,0 +1,222 @@
+//! Call servers: the JSON-lines codec and the connections to them.
+
+use super::{MESSAGE_MAX, WRITE_STALL};
+use crate::engine::{Ending, Event, FromServer, Lost, ServerConn, ToServer};
+use crate::interface::{CallId, LoadReport};
+use crate::settings;
+use bytes::{BufMut, BytesMut};
+use futures_util::{SinkExt, StreamExt};
+use serde::{Deserialize, Serialize};
+use serde_json::{Map, Value};
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+use tokio_util::codec::{Decoder, Encoder, Framed, LinesCodec, LinesCodecError};
+
+/// Causes of Q.850, as the protocol uses them.
+const NORMAL: u64 = 16;
+const FULL: u64 = 34;
+const RESET: u64 = 41;
+const NOT_SENT: u64 = 102;
+
+/// Frames and reads call servers' lines.
+pub struct Codec(LinesCodec);
+
+impl Default for Codec {
+    fn default() -> Self {
+        Codec(LinesCodec::new_with_max_length(MESSAGE_MAX))
+    }
+}
+
+impl Decoder for Codec {
+    type Item = FromServer;
+    type Error = io::Error;
+
+    fn decode(&mut self, bytes: &mut BytesMut) -> io::Result<Option<FromServer>> {
+        while let Some(line) = self.0.decode(bytes).map_err(lines_error)? {
+            if let Some(message) = read(&line)? {
+                return Ok(Some(message));
+            }
+        }
+        Ok(None)
+    }
+}
+
+fn lines_error(error: LinesCodecError) -> io::Error {
+    match error {
+        LinesCodecError::Io(e) => e,
+        other => io::Error::new(io::ErrorKind::InvalidData, other),
+    }
+}
+
+/// Reads a line; what is no JSON object is an error, one of unknown type or without its call is passed over.
+fn read(line: &str) -> io::Result<Option<FromServer>> {
+    let object: Map<String, Value> = serde_json::from_str(line)?;
+    let text = |name: &str| object.get(name).and_then(Value::as_str);
+    let field = |name: &str| object.get("f").and_then(|f| f.get(name)).and_then(Value::as_str);
+    let call = text("ref").and_then(|id| u64::from_str_radix(id, 16).ok()).map(CallId);
+    let report = || field("load").map(load).unwrap_or_default();
+    Ok(match (text("t"), call) {
+        (Some("up"), Some(call)) => {
+            Some(FromServer::Answer { call, description: text("d").map(str::to_owned) })
+        }
+        (Some("down"), Some(call)) => {
+            let cause = object.get("c").and_then(Value::as_u64).unwrap_or(RESET);
+            let how = match cause {
+                NORMAL => Ending::Normal,
+                FULL => Ending::Full { lines: field("note") == Some("nc") },
+                RESET => Ending::Reset,
+                NOT_SENT => Ending::NotSent,
+                _ => Ending::Error,
+            };
+            Some(FromServer::Ended { call, how, report: report() })
+        }
+        (Some("gauge"), _) => Some(FromServer::State(report())),
+        (Some("wait" | "ack" | "hb_ok"), _) => Some(FromServer::Sign),
+        _ => None,
+    })
+}
+
+/// A report's fields, as in `x0:12;x1:40;queue:3`; those unknown are passed over.
+fn load(text: &str) -> LoadReport {
+    let mut report = LoadReport::default();
+    for (name, value) in text.split(';').filter_map(|field| field.split_once(':')) {
+        if let Ok(value) = value.trim().parse() {
+            settings::column(name.trim()).fill(&mut report, value);
+        }
+    }
+    report
+}
+
+#[derive(Default, Deserialize, Serialize)]
+struct Line<'a> {
+    t: &'a str,
+    #[serde(rename = "ref")]
+    call: String,
+    f: Fields<'a>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    c: Option<u64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    d: Option<&'a str>,
+}
+
+#[derive(Default, Deserialize, Serialize)]
+struct Fields<'a> {
+    #[serde(skip_serializing_if = "Option::is_none")]
+    class: Option<&'a str>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    left: Option<String>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    key: Option<&'a str>,
+}
+
+impl Encoder<&ToServer> for Codec {
+    type Error = io::Error;
+
+    fn encode(&mut self, message: &ToServer, bytes: &mut BytesMut) -> io::Result<()> {
+        let call = format!("{:016x}", message.call().0);
+        let line = match message {
+            ToServer::SetUp { class, left_ms, number, description, .. } => {
+                let f =
+                    Fields { class: Some(class), left: Some(left_ms.to_string()), key: number.as_deref() };
+                Line { t: "new", call, f, c: None, d: Some(description) }
+            }
+            ToServer::Release(_) => Line { t: "down", call, c: Some(NORMAL), ..Line::default() },
+            ToServer::Heard(_) => Line { t: "ack", call, ..Line::default() },
+        };
+        bytes.put_slice(&serde_json::to_vec(&line)?);
+        bytes.put_u8(b'\n');
+        Ok(())
+    }
+}
+
+/// What is to be written, and whether the engine wants to know when it is.
+pub type Order = (ToServer, bool);
+
+/// Opens a connection and serves it until either side ends it. The task owns the stream; the engine closes it
+/// by letting go of the queue's other end.
+pub async fn serve(
+    addr: SocketAddr,
+    dial_timeout: Duration,
+    conn: ServerConn,
+    mut queue: mpsc::Receiver<Order>,
+    events: mpsc::Sender<Event>,
+) {
+    let how = match timeout(dial_timeout, TcpStream::connect(addr)).await {
+        Ok(Ok(stream)) => {
+            if let Err(e) = stream.set_nodelay(true) {
+                log::debug!("call server {addr}: {e}");
+            }
+            if events.send(Event::ServerOpened(conn)).await.is_err() {
+                return;
+            }
+            exchange(stream, conn, &mut queue, &events).await
+        }
+        Ok(Err(e)) if e.kind() == io::ErrorKind::ConnectionRefused => Lost::Refused,
+        Ok(Err(e)) => {
+            log::info!("call server {addr}: {e}");
+            Lost::TimedOut
+        }
+        Err(_) => Lost::TimedOut,
+    };
+    let _ = events.send(Event::ServerLost { conn, how }).await;
+}
+
+async fn exchange(
+    stream: TcpStream,
+    conn: ServerConn,
+    queue: &mut mpsc::Receiver<Order>,
+    events: &mpsc::Sender<Event>,
+) -> Lost {
+    let mut framed = Framed::new(stream, Codec::default());
+    loop {
+        let result = tokio::select! {
+            order = queue.recv() => {
+                let Some(order) = order else { return Lost::Closed };
+                let mut batch = vec![order];
+                while let Ok(order) = queue.try_recv() {
+                    batch.push(order);
+                }
+                match write(&mut framed, &batch).await {
+                    Ok(()) => confirm(batch, conn, events).await,
+                    Err(e) => Err(e),
+                }
+            }
+            message = framed.next() => match message {
+                Some(Ok(message)) => {
+                    events.send(Event::Server { conn, message }).await.map_err(io::Error::other)
+                }
+                Some(Err(e)) => Err(e),
+                None => return Lost::Closed,
+            }
+        };
+        match result {
+            Ok(()) => {}
+            Err(e) if e.kind() == io::ErrorKind::ConnectionReset => return Lost::Reset,
+            Err(e) => {
+                log::info!("connection {} to a call server: {e}", conn.0);
+                return Lost::Closed;
+            }
+        }
+    }
+}
+
+async fn write(framed: &mut Framed<TcpStream, Codec>, batch: &[Order]) -> io::Result<()> {
+    for (message, _) in batch {
+        framed.feed(message).await?;
+    }
+    timeout(WRITE_STALL, framed.flush()).await.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?
+}
+
+async fn confirm(batch: Vec<Order>, conn: ServerConn, events: &mpsc::Sender<Event>) -> io::Result<()> {
+    for (message, wanted) in batch {
+        if wanted {
+            let written = Event::Written { conn, call: message.call() };
+            events.send(written).await.map_err(io::Error::other)?;
+        }
+    }
+    Ok(())
+}
--- a/src/bin/sorrelflow-wirehost/settings.rs
+++ b/src/settings.rs
@@ -1,7 +1,9 @@
-//! The settings message, from JSON to the module's [`Settings`].
+//! The settings object, from JSON to the module's [`Settings`], and a load report's columns.
+//!
+//! The simulator's adapter finds it in its first message, the border controller in its configuration.
 
+use crate::interface::{Class, Customer, LoadReport, Reporting, Settings};
 use serde::Deserialize;
-use sorrelflow::{Class, Customer, Reporting, Settings};
 
 /// A load report's columns, in the order sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -15,6 +17,35 @@
     Other,
 }
 
+/// A column by its name on the simulator's wire or on the sockets, which call some of them otherwise.
+pub fn column(name: &str) -> Column {
+    match name {
+        "free" | "x0" => Column::Free,
+        "size" | "x1" => Column::Size,
+        "queue" => Column::Queue,
+        "util" => Column::Utilisation,
+        "latency_ms" => Column::Wait,
+        "hold_back" | "eps" => Column::HoldBack,
+        _ => Column::Other,
+    }
+}
+
+impl Column {
+    /// Puts a figure into its place in a report; one below zero or not a number is absent.
+    pub fn fill(self, report: &mut LoadReport, value: f64) {
+        let value = Some(value).filter(|v| v.is_finite() && *v >= 0.0);
+        match self {
+            Column::Free => report.free_lines = value,
+            Column::Size => report.lines = value,
+            Column::Queue => report.queue = value,
+            Column::Utilisation => report.utilisation = value,
+            Column::Wait => report.wait_ms = value,
+            Column::HoldBack => report.hold_back = value,
+            Column::Other => {}
+        }
+    }
+}
+
 #[derive(Deserialize)]
 struct Info {
     siblings: u32,
@@ -32,6 +63,8 @@
 
 #[derive(Deserialize)]
 struct Service {
+    #[serde(default)]
+    name: String,
     target_ms: f64,
     deadline_ms: f64,
     worth: f64,
@@ -62,6 +95,22 @@
     probing: bool,
     #[serde(default)]
     may_tell: bool,
+    #[serde(default)]
+    retry_after: bool,
+    #[serde(default)]
+    max_retry_after_ms: f64,
+    #[serde(default = "default_dial_timeout_ms")]
+    dial_timeout_ms: f64,
+    #[serde(default = "default_open_cap")]
+    open_cap: usize,
+}
+
+fn default_dial_timeout_ms() -> f64 {
+    500.0
+}
+
+fn default_open_cap() -> usize {
+    20_000
 }
 
 #[derive(Deserialize)]
@@ -79,19 +128,31 @@
     t1_ms: f64,
 }
 
-/// Parses the text of `configure`.
+/// What the program around the module needs of the settings.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct HostSettings {
+    /// The classes' names, in the order of [`Settings::classes`].
+    pub classes: Vec<String>,
+    /// A connection not established within this time has failed.
+    pub dial_timeout_ms: f64,
+    /// Calls in set-up at most; more are turned away unseen.
+    pub open_cap: usize,
+}
+
+/// Parses the host's part of the settings.
+pub fn parse_host(text: &[u8]) -> Result<HostSettings, String> {
+    let info: Info = serde_json::from_slice(text).map_err(|e| format!("settings: {e}"))?;
+    Ok(HostSettings {
+        classes: info.services.into_iter().map(|s| s.name).collect(),
+        dial_timeout_ms: info.ceilings.dial_timeout_ms,
+        open_cap: info.ceilings.open_cap,
+    })
+}
+
+/// Parses the settings for the module.
 pub fn parse(text: &[u8]) -> Result<(Settings, Vec<Column>), String> {
     let info: Info = serde_json::from_slice(text).map_err(|e| format!("settings: {e}"))?;
-    let columns = info.report.columns.iter().map(|name| match name.as_str() {
-        "free" => Column::Free,
-        "size" => Column::Size,
-        "queue" => Column::Queue,
-        "util" => Column::Utilisation,
-        "latency_ms" => Column::Wait,
-        "hold_back" => Column::HoldBack,
-        _ => Column::Other,
-    });
-    let columns = columns.collect();
+    let columns = info.report.columns.iter().map(|name| column(name)).collect();
     let class = |s: &Service| Class {
         target_ms: s.target_ms,
         deadline_ms: s.deadline_ms,
@@ -111,6 +172,7 @@
         may_probe: info.ceilings.probing,
         may_cancel: info.ceilings.cancel,
         may_tell: info.ceilings.may_tell,
+        stay_away_max_ms: if info.ceilings.retry_after { info.ceilings.max_retry_after_ms } else { 0.0 },
         max_attempts: info.ceilings.attempts_cap,
         guard_ms: info.specifics.guard_ms,
         resend_ms: info.specifics.t1_ms,
--- a/tests/controller.rs
+++ b/tests/controller.rs
@@ -1,6 +1,6 @@
 //! The rules and the answers to each failure found, through the public interface.
 
-use sorrelflow::*;
+use corkreach::*;
 use std::collections::{BTreeMap, BTreeSet};
 
 const GUARD: f64 = 300.0;
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -1,6 +1,6 @@
 //! What hundreds of senders do together to one server: each sum holds for the fleet, not for the sender.
 
-use sorrelflow::*;
+use corkreach::*;
 use std::collections::BTreeSet;
 
 const SENDERS: usize = 260;
--- a/tests/formula.rs
+++ b/tests/formula.rs
@@ -1,6 +1,6 @@
 //! The paper's formula against values worked out by hand from Table I.
 
-use sorrelflow::policy::{best_utilisation, blocking, utilisation_of_queue};
+use corkreach::policy::{best_utilisation, blocking, utilisation_of_queue};
 
 fn near(a: f64, b: f64) -> bool {
     (a - b).abs() < 5e-4
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -11,7 +11,7 @@
  "specifics": {"guard_ms": 300.0, "t1_ms": 400.0}}"#;
 
 fn adapter(input: &[u8]) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_sorrelflow-wirehost"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_corkreach-benchlink"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
@@ -145,6 +145,6 @@
         let text = String::from_utf8_lossy(&out.stderr);
         assert_eq!(out.status.code(), Some(1), "case {i}: {text}");
         assert_eq!(text.lines().count(), 1, "case {i}: {text}");
-        assert!(text.starts_with("sorrelflow-wirehost: "), "case {i}: {text}");
+        assert!(text.starts_with("corkreach-benchlink: "), "case {i}: {text}");
     }
 }
