Tell refused callers when to come back, and test the program as a process

Module: Refuse always said stay_away_ms 0 (policy.rs, place).

Tests: tests/process starts the program and plays callers, call servers and name service. Its quiet-server test showed that a connection was closed as stale 4 s after its last word although it lived: a call server says its first word on the new connection only. Now the oldest connection is closed only when room is needed (fleet.rs, look_at).

--- a/src/engine/fleet.rs
+++ b/src/engine/fleet.rs
@@ -302,15 +302,13 @@
         // The system may take a connection that nobody behind it answers.
         let mute = |c: &Conn| c.open && !c.heard && self.now - c.heard_at >= MUTE_MS;
         if silent_ms < SILENT_MS {
-            // Alive: a connection that stayed silent while another spoke, with nothing open on it, is stale.
-            let stale = |c: &&Conn| c.open && self.now - c.heard_at >= VANISHED_MS;
-            let stale: Vec<ServerConn> = s.conns.iter().filter(stale).map(|c| c.id).collect();
-            if s.conns.iter().any(|c| c.open && !stale.contains(&c.id)) {
-                for conn in stale {
-                    if !self.calls.any_on(conn) {
-                        self.close(conn, out);
-                    }
-                }
+            // Alive: the connection heard longest ago makes room for the next look. Not sooner: one that is
+            // just quiet may still carry a release.
+            let oldest = s.conns.iter().filter(|c| c.open).min_by(|a, b| a.heard_at.total_cmp(&b.heard_at));
+            let stale =
+                oldest.filter(|c| s.conns.len() >= CONNS_MAX - 1 && self.now - c.heard_at >= VANISHED_MS);
+            if let Some(conn) = stale.map(|c| c.id).filter(|&conn| !self.calls.any_on(conn)) {
+                self.close(conn, out);
             }
         } else if !self.calls.any_at(server) {
             // Nothing of ours is there: its silence says nothing, and may be just quiet.
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -63,7 +63,8 @@
             log::error!("name service: {e}");
         }
     });
-    log::info!("listening on {}", config.listen);
+    let listening = listener.local_addr().map_err(|e| format!("listening: {e}"))?;
+    log::info!("listening on {listening}");
     driver.step(Event::List { serial: config.serial, servers: config.known });
     while !driver.exiting {
         let wait = driver.engine.next_due().map_or(1000.0, |due| due - driver.clock.now()).clamp(0.0, 1000.0);
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -749,6 +749,7 @@
         if now < live.not_before {
             return self.wake(live.not_before, id, out);
         }
+        let stay_away_ms = self.stay_away_ms(now, live);
         let may_hold = now < live.hold_until && live.rank >= HOLD_RANK;
         let chosen = self.choose(now, live);
         if self.told_by_probes_alone() {
@@ -763,10 +764,23 @@
             Some(server) if self.worth_a_probe(now, server) => self.ask(now, Some(id), server, out),
             Some(server) => self.send(now, id, server, out),
             None if may_hold => self.wake(now + HOLD_MS, id, out),
-            None => self.end(id, Action::Refuse { call: id, stay_away_ms: 0.0 }, out),
+            None => self.end(id, Action::Refuse { call: id, stay_away_ms }, out),
         }
     }
 
+    /// When a call turned away had best come again: once a line has room for it, if it can
+    /// still stand in its aim then; else as late as callers heed, as it would take a first try's place.
+    fn stay_away_ms(&self, now: f64, live: &Live) -> f64 {
+        let most = self.settings.stay_away_max_ms.max(0.0);
+        let quickest = if self.quickest_ms.is_finite() { self.quickest_ms } else { FIRST_SERVICE_MS };
+        let each = self.service_ms() * self.siblings();
+        let ready = self.servers.values().filter(|s| s.state == Listed::Ready && !s.silent(now));
+        let opens = |s: &Server| (s.full_until - now).max(s.backlog_ms(now, quickest, each)).max(0.0);
+        let soonest = ready.map(opens).fold(f64::INFINITY, f64::min).max(FULL_ONCE_MS);
+        let left = live.first_dialled + self.class_of(&live.call).target_ms - now;
+        if soonest < left { soonest.min(most) } else { most }
+    }
+
     fn told_by_probes_alone(&self) -> bool {
         self.settings.may_probe && self.settings.reporting == Reporting::Probes
     }
--- /dev/null
+++ b/tests/process/main.rs
@@ -0,0 +1,296 @@
+//! The program as a process, seen from its callers, its call servers and its name service.
+
+mod rig;
+
+use rig::*;
+use serde_json::json;
+use std::io::Write;
+use std::time::{Duration, Instant};
+
+/// Two call servers, each with its first connection open, and a caller.
+fn two() -> (Server, Server, Program, Names, Link, Link, Caller) {
+    let (a, b) = (Server::start("s-a", 0), Server::start("s-b", 1));
+    let (program, names) = start(&[&a, &b]);
+    let (la, lb) = (a.accept(), b.accept());
+    let caller = program.ready_caller();
+    (a, b, program, names, la, lb, caller)
+}
+
+/// A call that stands at the call server of this connection.
+fn stand(caller: &mut Caller, link: &mut Link, call: u64) {
+    caller.set_up(call, 0, 9000);
+    link.expect("new", call);
+    link.up(call);
+    caller.expect(9, call, None);
+}
+
+#[test]
+fn a_call_is_set_up_at_its_first_choice_and_released_from_either_side() {
+    let (_a, _b, _program, _names, mut la, _lb, mut caller) = two();
+    caller.set_up(7, 0, 9000);
+    let mut new = la.expect("new", 7);
+    let left: u32 = new["f"]["left"].as_str().unwrap().parse().unwrap();
+    assert!((8000..=9000).contains(&left), "{left}");
+    new["f"]["left"] = json!("[left]");
+    la.say(json!({"t": "wait", "ref": "0000000000000007", "f": {}}));
+    la.say(json!({"t": "news", "ref": "0000000000000007", "f": {"x": 1}}));
+    la.up(7);
+    let answer = caller.hear();
+    la.down(7, 16, json!({"load": "x0:91;x1:100;latency_ms:3;qps:40"}));
+    let release = caller.hear();
+    insta::assert_snapshot!(format!("{new}\n{answer:?}\n{release:?}\n{}", la.expect("ack", 7)), @r#"
+    {"d":"9d41c07a5be2f318\r\nc=IN IP4 10.4.7.9\r\nm=audio 31000 RTP/AVP 0 8 101\r\ns=\"æ\"\r\n","f":{"class":"voice","key":"7f3a9c21e0b4d655","left":"[left]"},"ref":"0000000000000007","t":"new"}
+    Some((9, 7, [(144, "9d41c07a5be2f318\r\nc=IN IP4 10.4.7.9\r\nm=audio 31000 RTP/AVP 0 8 101\r\ns=\"æ\"\r\n")]))
+    Some((12, 7, [(143, "16")]))
+    {"f":{},"ref":"0000000000000007","t":"ack"}
+    "#);
+
+    stand(&mut caller, &mut la, 8);
+    caller.say(12, 8, &[(143, &[16])]);
+    caller.expect(16, 8, None);
+    assert_eq!(la.expect("down", 8)["c"], 16);
+}
+
+#[test]
+fn a_refusal_is_tried_elsewhere_and_the_last_tells_when_to_come_back() {
+    let (_a, _b, _program, _names, mut la, mut lb, mut caller) = two();
+    caller.set_up(7, 0, 9000);
+    la.expect("new", 7);
+    la.down(7, 34, json!({"note": "ovl", "load": "x0:90;x1:100;latency_ms:4000;qps:1"}));
+    lb.expect("new", 7);
+    lb.down(7, 34, json!({"note": "ovl", "load": "x0:90;x1:100;latency_ms:4000;qps:1"}));
+    let (_, _, parameters) = caller.expect(12, 7, Some(42));
+    let stay_away: u32 = parameters.iter().find(|(code, _)| *code == 135).unwrap().1.parse().unwrap();
+    assert!((1..=2000).contains(&stay_away), "{stay_away}");
+}
+
+/// A call given up is called off at its call server; an answer that crosses it is released there, and the
+/// caller hears neither.
+#[test]
+fn an_answer_that_crosses_the_end_is_released_at_the_call_server() {
+    let (_a, _b, _program, _names, mut la, _lb, mut caller) = two();
+    caller.set_up(7, 0, 9000);
+    la.expect("new", 7);
+    caller.say(12, 7, &[(143, &[16])]);
+    caller.expect(16, 7, None);
+    assert_eq!(la.expect("down", 7)["c"], 16);
+    la.up(7);
+    assert_eq!(la.expect("down", 7)["c"], 16);
+    assert!(caller.test(), "nothing but the test's answer comes");
+}
+
+#[test]
+fn a_call_that_nobody_answers_fails_before_its_time_is_over() {
+    let (_a, _b, _program, _names, mut la, _lb, mut caller) = two();
+    let since = Instant::now();
+    caller.set_up(7, 0, 600);
+    la.expect("new", 7);
+    caller.expect(12, 7, Some(41));
+    assert!(since.elapsed() < Duration::from_millis(670), "{:?}", since.elapsed());
+    assert_eq!(la.expect("down", 7)["c"], 16);
+}
+
+/// Unreadable JSON closes that connection and resets its set-up: the call goes elsewhere, after the guard.
+#[test]
+fn a_reset_set_up_is_sent_again_only_after_the_guard() {
+    let (a, _b, _program, _names, mut la, mut lb, mut caller) = two();
+    caller.set_up(7, 0, 9000);
+    la.expect("new", 7);
+    let since = Instant::now();
+    la.say_raw("{\"t\":\n");
+    assert_eq!(la.hear(), None);
+    // The call server is only one connection the poorer: the next one comes at once.
+    let _next = a.accept();
+    lb.expect("new", 7);
+    assert!(since.elapsed() >= Duration::from_millis(200), "{:?}", since.elapsed());
+    lb.up(7);
+    caller.expect(9, 7, None);
+}
+
+/// A dead process resets its connections and refuses new ones: its calls are cut, and their callers are told
+/// on any connection they have; a new set-up is tried elsewhere.
+#[test]
+fn a_dead_call_server_cuts_its_calls() {
+    let (a, _b, program, _names, mut la, mut lb, mut caller) = two();
+    stand(&mut caller, &mut la, 7);
+    drop(caller);
+    let mut other = program.ready_caller();
+    drop(a.listener);
+    drop(la);
+    other.expect(12, 7, Some(41));
+    other.set_up(8, 0, 9000);
+    lb.expect("new", 8);
+}
+
+/// A connection closed in order cuts nothing: what ended meanwhile is told on the next, and the caller, who
+/// has no connection open then, hears of it on its next.
+#[test]
+fn a_release_waits_for_the_next_connections() {
+    let (a, _b, program, _names, mut la, _lb, mut caller) = two();
+    stand(&mut caller, &mut la, 7);
+    caller.say(12, 99, &[(143, &[16])]);
+    caller.expect(16, 99, None);
+    // A release of a call that is not known here may be of one from before the start.
+    la.expect("down", 99);
+    drop(la);
+    let mut la = a.accept();
+    assert!(caller.test(), "nothing but the test's answer comes");
+    drop(caller);
+    la.down(7, 16, json!({}));
+    la.expect("ack", 7);
+    program.caller().expect(12, 7, Some(16));
+}
+
+/// A machine that vanished leaves its connections open and silent, and what it took with it is released.
+#[test]
+fn a_vanished_call_server_cuts_its_calls() {
+    let (a, _b, _program, _names, mut la, _lb, mut caller) = two();
+    stand(&mut caller, &mut la, 7);
+    let since = Instant::now();
+    caller.expect(12, 7, Some(41));
+    assert!(since.elapsed() < Duration::from_secs(7), "{:?}", since.elapsed());
+    drop((a, la));
+}
+
+/// One that is merely quiet tells its state on the connection that looks at it, and keeps its calls.
+#[test]
+fn a_quiet_call_server_keeps_its_calls() {
+    let (a, _b, _program, _names, mut la, _lb, mut caller) = two();
+    stand(&mut caller, &mut la, 7);
+    let _looks = [a.accept(), a.accept()];
+    assert!(caller.test(), "nothing but the test's answer comes");
+    la.down(7, 16, json!({}));
+    caller.expect(12, 7, Some(16));
+}
+
+/// Queries and answers are lost, one can't be read, and the answer is as long as they come: a drain is heard in
+/// time all the same, and an answer that comes late changes nothing.
+#[test]
+fn a_draining_or_missing_call_server_gets_nothing_new() {
+    let (a, b, _program, names, mut la, mut lb, mut caller) = two();
+    stand(&mut caller, &mut la, 7);
+    let since = Instant::now();
+    names.change(vec![Listed { draining: true, ..a.listed.clone() }, b.listed.clone()], |state| {
+        (state.lose, state.garble, state.ballast) = (2, 1, 30);
+    });
+    assert!(since.elapsed() < Duration::from_millis(2500), "{:?}", since.elapsed());
+    assert!((6000..=8000).contains(&names.state.lock().unwrap().longest), "the answer was a long one");
+    caller.set_up(8, 0, 9000);
+    lb.expect("new", 8);
+    names.change(vec![a.listed.clone()], |state| state.serial -= 2);
+    caller.set_up(9, 0, 9000);
+    lb.expect("new", 9);
+    // Gone, it has cut what stood there.
+    names.change(vec![b.listed.clone()], |state| state.serial += 2);
+    caller.expect(12, 7, Some(41));
+    assert_eq!(la.hear(), None);
+}
+
+/// Another process at the same id cuts what stood at the one before; a new id at the same address is another
+/// call server, and gets a connection of its own.
+#[test]
+fn a_replaced_call_server_cuts_its_calls() {
+    let (a, b, _program, names, mut la, mut lb, mut caller) = two();
+    stand(&mut caller, &mut la, 7);
+    caller.set_up(8, 1, 9000);
+    lb.expect("new", 8);
+    lb.up(8);
+    caller.expect(9, 8, None);
+    let started_ms = std::time::UNIX_EPOCH.elapsed().unwrap().as_millis() as u64;
+    let restarted = Listed { started_ms, ..a.listed.clone() };
+    names.change(vec![restarted.clone(), b.listed.clone()], |_| {});
+    caller.expect(12, 7, Some(41));
+    names.change(vec![restarted, Listed { id: "s-c", started_ms, ..b.listed.clone() }], |_| {});
+    caller.expect(12, 8, Some(41));
+    assert_eq!(lb.hear(), None);
+    b.accept();
+}
+
+#[test]
+fn tests_pass_once_every_call_server_has_told_its_state() {
+    let a = Server::start("s-a", 0);
+    let (program, _names) = start(&[&a]);
+    let mut link = a.accept_mute();
+    assert!(!program.caller().test());
+    link.gauge();
+    program.ready_caller();
+}
+
+#[test]
+fn bad_input_harms_nobody_else() {
+    let (_a, _b, program, _names, mut la, _lb, mut caller) = two();
+    for bytes in [&[0, 3, 1, 0, 0][..], &[0xff, 0xff, 1], b"GET / HTTP/1.1\r\n\r\n"] {
+        let mut bad = program.caller();
+        bad.stream.write_all(bytes).unwrap();
+        assert_eq!(bad.hear(), None);
+    }
+    caller.say(77, 1, &[(1, b"x")]);
+    caller.say(1, 2, &[(130, b"900"), (144, b"d")]);
+    caller.expect(12, 2, Some(96));
+    caller.say(1, 3, &[(129, b"voice"), (130, b"900")]);
+    caller.expect(12, 3, Some(96));
+    for (class, wait, description) in [
+        ("fax", "900", &b"d"[..]),
+        ("voice", "soon", b"d"),
+        ("voice", "NaN", b"d"),
+        ("voice", "900", b"\xff"),
+    ] {
+        caller.say(1, 4, &[(129, class.as_bytes()), (130, wait.as_bytes()), (144, description)]);
+        caller.expect(12, 4, Some(100));
+    }
+    // A parameter that runs over the message's end.
+    caller.stream.write_all(&[0, 12, 1, 0, 0, 0, 0, 0, 0, 0, 5, 129, 0, 9]).unwrap();
+    caller.expect(12, 5, Some(100));
+    // A description that would not fit into a line to a call server.
+    caller.say(1, 6, &[(129, b"voice"), (130, b"900"), (144, &[1; 9000])]);
+    caller.expect(12, 6, Some(100));
+    la.say(json!({"t": "up"}));
+    la.say(json!({"t": "gauge", "f": {"load": "x0:;;x1:NaN;:::"}}));
+    stand(&mut caller, &mut la, 7);
+}
+
+/// After SIGTERM set-ups are still taken for a while, on open and new connections; all are answered before the
+/// program ends, and also a caller that has shut its side hears.
+#[test]
+fn a_planned_stop_answers_all_that_was_taken() {
+    let (_a, _b, mut program, _names, mut la, _lb, mut caller) = two();
+    caller.set_up(7, 0, 9000);
+    la.expect("new", 7);
+    program.terminate();
+    let mut late = program.caller();
+    late.set_up(8, 0, 9000);
+    late.stream.shutdown(std::net::Shutdown::Write).unwrap();
+    la.expect("new", 8);
+    while caller.test() {}
+    la.up(7);
+    caller.expect(9, 7, None);
+    // Later than set-ups are taken, one that was is still waited for.
+    let since = Instant::now();
+    while since.elapsed() < Duration::from_millis(800) {
+        assert!(!caller.test());
+    }
+    assert!(program.child.try_wait().unwrap().is_none());
+    la.up(8);
+    late.expect(9, 8, None);
+    assert!(program.wait().success());
+}
+
+#[test]
+fn what_is_wrong_at_the_start_is_one_line() {
+    let complaint = |arguments: &[&str]| {
+        let output = run(arguments).output().unwrap();
+        assert!(!output.status.success());
+        String::from_utf8(output.stderr).unwrap()
+    };
+    let nowhere = ["serve", "--config", "/nowhere/config.json"];
+    let manifest = concat!(env!("CARGO_MANIFEST_DIR"), "/Cargo.toml");
+    let text = [&["serve"][..], &nowhere, &["check", "--listen"], &["sing"], &[]].map(complaint).concat();
+    insta::assert_snapshot!(text, @r"
+    corkreach: no configuration: give --config or set GW_CONFIG
+    corkreach: /nowhere/config.json: No such file or directory (os error 2)
+    corkreach: Unrecognized argument: --listen
+    corkreach: Unrecognized argument: sing
+    corkreach: One of the following subcommands must be present: help serve check version
+    ");
+    assert_eq!(complaint(&["check", "--config", manifest]).lines().count(), 1);
+}
--- /dev/null
+++ b/tests/process/rig.rs
@@ -0,0 +1,366 @@
+//! The real program as a process, and what it talks to: callers, call servers and a name service, all here.
+
+use hickory_proto::op::{Message, MessageType, OpCode};
+use hickory_proto::rr::rdata::{A, SOA, SRV, TXT};
+use hickory_proto::rr::{Name, RData, Record};
+use serde_json::{Value, json};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// Whatever a test waits for comes well within this, or it fails.
+const PATIENCE: Duration = Duration::from_secs(15);
+pub const SDP: &str =
+    "9d41c07a5be2f318\r\nc=IN IP4 10.4.7.9\r\nm=audio 31000 RTP/AVP 0 8 101\r\ns=\"\u{e6}\"\r\n";
+
+pub fn settings() -> Value {
+    json!({"siblings": 1, "index": 0, "zones": ["aarhus"],
+        "services": [{"name": "voice", "deadline_ms": 9000.0, "target_ms": 1500.0, "worth": 1.0, "late_worth": 0.2}],
+        "report": {"columns": ["free", "size", "latency_ms", "can_take"], "how": "answers"},
+        "ceilings": {"attempts_cap": 6, "cancel": true, "dial_timeout_ms": 500.0, "retry_after": true,
+            "max_retry_after_ms": 2000.0, "open_cap": 20000},
+        "rules": {"cold_from": 0.37, "cold_ms": 14000.0, "fall_ms": 2000.0, "fall_multiple": 3.0},
+        "specifics": {"guard_ms": 200.0, "t1_ms": 0.0}})
+}
+
+/// One call server in the list.
+#[derive(Clone)]
+pub struct Listed {
+    pub id: &'static str,
+    pub addr: SocketAddr,
+    pub place: u32,
+    pub draining: bool,
+    pub started_ms: u64,
+}
+
+/// The name service: it answers with the list that it holds, once it is told to.
+pub struct Names {
+    pub addr: SocketAddr,
+    pub state: Arc<Mutex<NamesState>>,
+}
+
+#[derive(Default)]
+pub struct NamesState {
+    pub serial: u32,
+    pub list: Vec<Listed>,
+    /// So many queries get no answer, and so many an answer that can't be read.
+    pub lose: u32,
+    pub garble: u32,
+    /// Records that fill an answer up.
+    pub ballast: usize,
+    pub longest: usize,
+    /// Good answers given since the list last changed.
+    pub told: u32,
+}
+
+impl Names {
+    fn start() -> Names {
+        let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+        let addr = socket.local_addr().unwrap();
+        let state = Arc::new(Mutex::new(NamesState { serial: 1, ..NamesState::default() }));
+        let shared = state.clone();
+        std::thread::spawn(move || {
+            let mut buffer = [0; 1500];
+            while let Ok((n, from)) = socket.recv_from(&mut buffer) {
+                let mut state = shared.lock().unwrap();
+                if state.lose > 0 {
+                    state.lose -= 1;
+                    continue;
+                }
+                let mut answer = state.answer(&Message::from_vec(&buffer[..n]).unwrap());
+                if state.garble > 0 {
+                    state.garble -= 1;
+                    answer.truncate(40);
+                } else {
+                    state.told += 1;
+                }
+                state.longest = state.longest.max(answer.len());
+                socket.send_to(&answer, from).unwrap();
+            }
+        });
+        Names { addr, state }
+    }
+
+    /// A later event: the list changes, and whatever else is to. Returns once the program has asked again
+    /// after it was told.
+    pub fn change(&self, list: Vec<Listed>, more: impl FnOnce(&mut NamesState)) {
+        let mut state = self.state.lock().unwrap();
+        (state.serial, state.list, state.told) = (state.serial + 1, list, 0);
+        more(&mut state);
+        drop(state);
+        let since = Instant::now();
+        while self.state.lock().unwrap().told < 2 {
+            assert!(since.elapsed() < PATIENCE, "the program does not ask");
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+}
+
+impl NamesState {
+    fn answer(&self, query: &Message) -> Vec<u8> {
+        let name = |text: &str| Name::from_ascii(text).unwrap();
+        let record = |owner: &str, data: RData| Record::from_rdata(name(owner), 0, data);
+        let mut message = Message::new(query.metadata.id, MessageType::Response, OpCode::Query);
+        message.add_queries(query.queries.iter().cloned());
+        for s in &self.list {
+            let host = format!("{}.aarhus.hosts.", s.id);
+            let srv = SRV::new(u16::from(s.draining), 40, s.addr.port(), name(&host));
+            message.add_answer(record("_back._tcp.pool.lan.", RData::SRV(srv)));
+            let SocketAddr::V4(v4) = s.addr else { panic!("{}", s.addr) };
+            message.add_additional(record(&host, RData::A(A(*v4.ip()))));
+            let text =
+                vec!["kind=std".into(), format!("cell={}", s.place), format!("started={}", s.started_ms)];
+            message.add_additional(record(&host, RData::TXT(TXT::new(text))));
+        }
+        for n in 0..self.ballast {
+            let text = vec!["x".repeat(200)];
+            message.add_additional(record(&format!("filler{n}.hosts."), RData::TXT(TXT::new(text))));
+        }
+        let soa = SOA::new(name("ns.pool.lan."), name("root.pool.lan."), self.serial, 1, 1, 1, 1);
+        message.add_authority(record("pool.lan.", RData::SOA(soa)));
+        message.to_vec().unwrap()
+    }
+}
+
+/// A call server: it listens, and a test accepts each connection by hand.
+pub struct Server {
+    pub listener: TcpListener,
+    pub listed: Listed,
+}
+
+impl Server {
+    pub fn start(id: &'static str, place: u32) -> Server {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let addr = listener.local_addr().unwrap();
+        Server { listener, listed: Listed { id, addr, place, draining: false, started_ms: 0 } }
+    }
+
+    /// The next connection, before its first word.
+    pub fn accept_mute(&self) -> Link {
+        let (stream, _) = self.listener.accept().unwrap();
+        Link::new(stream)
+    }
+
+    pub fn accept(&self) -> Link {
+        let mut link = self.accept_mute();
+        link.gauge();
+        link
+    }
+}
+
+/// A call server's end of a connection.
+pub struct Link {
+    lines: BufReader<TcpStream>,
+}
+
+impl Link {
+    fn new(stream: TcpStream) -> Link {
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        Link { lines: BufReader::new(stream) }
+    }
+
+    pub fn say(&mut self, line: Value) {
+        self.say_raw(&format!("{line}\n"));
+    }
+
+    pub fn say_raw(&mut self, text: &str) {
+        self.lines.get_mut().write_all(text.as_bytes()).unwrap();
+    }
+
+    /// The next line, or none if the connection was closed.
+    pub fn hear(&mut self) -> Option<Value> {
+        let mut line = String::new();
+        match self.lines.read_line(&mut line) {
+            Ok(0) => None,
+            Ok(_) => Some(serde_json::from_str(&line).unwrap()),
+            Err(e) => panic!("a line from the program: {e}"),
+        }
+    }
+
+    /// The next line that is of this type; what is heard of releases means nothing.
+    pub fn expect(&mut self, kind: &str, call: u64) -> Value {
+        loop {
+            let line = self.hear().expect("an open connection");
+            if line["t"] != "ack" || kind == "ack" {
+                assert_eq!((line["t"].as_str(), &line["ref"]), (Some(kind), &json!(format!("{call:016x}"))));
+                return line;
+            }
+        }
+    }
+
+    pub fn gauge(&mut self) {
+        self.say(
+            json!({"t": "gauge", "ref": "0000000000000000", "f": {"load": "x0:90;x1:100;latency_ms:-1"}}),
+        );
+    }
+
+    pub fn up(&mut self, call: u64) {
+        self.say(json!({"t": "up", "ref": format!("{call:016x}"), "f": {}, "d": SDP}));
+    }
+
+    pub fn down(&mut self, call: u64, cause: u8, fields: Value) {
+        self.say(json!({"t": "down", "ref": format!("{call:016x}"), "f": fields, "c": cause}));
+    }
+}
+
+/// A caller's connection.
+pub struct Caller {
+    pub stream: TcpStream,
+}
+
+/// A message to a caller: type, call, and the parameters by code.
+pub type Heard = (u8, u64, Vec<(u8, String)>);
+
+impl Caller {
+    pub fn say(&mut self, kind: u8, call: u64, parameters: &[(u8, &[u8])]) {
+        let body: Vec<u8> = parameters
+            .iter()
+            .flat_map(|(code, v)| [&[*code][..], &(v.len() as u16).to_be_bytes(), v].concat())
+            .collect();
+        let head = [&((9 + body.len()) as u16).to_be_bytes()[..], &[kind], &call.to_be_bytes()].concat();
+        self.stream.write_all(&[head, body].concat()).unwrap();
+    }
+
+    pub fn set_up(&mut self, call: u64, place: u32, wait_ms: u32) {
+        let (wait, extras) = (wait_ms.to_string(), format!("dest:{place};width:1;via:-1"));
+        let parameters: [(u8, &[u8]); 5] = [
+            (129, b"voice"),
+            (130, wait.as_bytes()),
+            (133, b"7f3a9c21e0b4d655"),
+            (134, extras.as_bytes()),
+            (144, SDP.as_bytes()),
+        ];
+        self.say(1, call, &parameters);
+    }
+
+    /// The next message, or none if the connection was closed.
+    pub fn hear(&mut self) -> Option<Heard> {
+        let mut length = [0; 2];
+        self.stream.read_exact(&mut length).ok()?;
+        let mut body = vec![0; usize::from(u16::from_be_bytes(length))];
+        self.stream.read_exact(&mut body).unwrap();
+        let (mut rest, mut parameters) = (&body[9..], Vec::new());
+        while !rest.is_empty() {
+            let end = 3 + usize::from(u16::from_be_bytes([rest[1], rest[2]]));
+            let value = &rest[3..end];
+            let text = if rest[0] == 143 {
+                value[0].to_string()
+            } else {
+                String::from_utf8(value.to_vec()).unwrap()
+            };
+            parameters.push((rest[0], text));
+            rest = &rest[end..];
+        }
+        Some((body[0], u64::from_be_bytes(body[1..9].try_into().unwrap()), parameters))
+    }
+
+    /// The next message; it is of this type, for this call, with this cause if any.
+    pub fn expect(&mut self, kind: u8, call: u64, cause: Option<u8>) -> Heard {
+        let heard = self.hear().expect("an open connection");
+        let told = heard.2.iter().find(|(code, _)| *code == 143).map(|(_, v)| v.parse().unwrap());
+        assert_eq!((heard.0, heard.1, told), (kind, call, cause), "{heard:?}");
+        heard
+    }
+
+    /// A round trip: what the program had to say before its answer has been said.
+    pub fn test(&mut self) -> bool {
+        self.say(52, 0, &[(143, &[0])]);
+        self.expect_test()
+    }
+
+    fn expect_test(&mut self) -> bool {
+        let (kind, _, parameters) = self.hear().expect("an open connection");
+        assert_eq!(kind, 53, "{parameters:?}");
+        parameters == [(143, "1".to_owned())]
+    }
+}
+
+/// The program, and the folder of its configuration.
+pub struct Program {
+    pub child: Child,
+    addr: SocketAddr,
+    folder: std::path::PathBuf,
+}
+
+impl Program {
+    pub fn caller(&self) -> Caller {
+        let stream = TcpStream::connect(self.addr).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        Caller { stream }
+    }
+
+    /// A caller's connection on which tests pass: the program is ready.
+    pub fn ready_caller(&self) -> Caller {
+        let mut caller = self.caller();
+        let since = Instant::now();
+        while !caller.test() {
+            assert!(since.elapsed() < PATIENCE, "the program is not ready");
+        }
+        caller
+    }
+
+    pub fn terminate(&self) {
+        let pid = self.child.id().to_string();
+        assert!(Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
+    }
+
+    pub fn wait(&mut self) -> ExitStatus {
+        let since = Instant::now();
+        loop {
+            match self.child.try_wait().unwrap() {
+                Some(status) => return status,
+                None => assert!(since.elapsed() < PATIENCE, "the program does not end"),
+            }
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+pub fn run(arguments: &[&str]) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_corkreach"));
+    command.args(arguments).env_remove("GW_CONFIG").env_remove("GW_LISTEN").env_remove("GW_NAME");
+    command
+}
+
+/// Starts the program with these call servers known.
+pub fn start(servers: &[&Server]) -> (Program, Names) {
+    let names = Names::start();
+    let list: Vec<Listed> = servers.iter().map(|s| s.listed.clone()).collect();
+    names.state.lock().unwrap().list = list.clone();
+    let known: Vec<Value> = list
+        .iter()
+        .map(|s| {
+            json!({"id": s.id, "addr": s.addr, "zone": "aarhus", "kind": "std", "cell": s.place,
+            "state": "Ready", "weight": 4, "started_ms": s.started_ms})
+        })
+        .collect();
+    let config = json!({"name": "n0", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "dns": names.addr, "settings": settings(),
+        "known": {"seq": 1, "results": [{"seq": 1, "fleet": {"version": 1, "full": true, "servers": known}}]}});
+    let folder = std::env::temp_dir().join(format!("corkreach-{}-{}", std::process::id(), names.addr.port()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let file = folder.join("config.json");
+    std::fs::write(&file, config.to_string()).unwrap();
+    let mut child =
+        run(&["serve"]).env("GW_CONFIG", &file).stdin(Stdio::null()).stderr(Stdio::piped()).spawn().unwrap();
+    let mut log = BufReader::new(child.stderr.take().unwrap());
+    let mut line = String::new();
+    while !line.contains("listening on ") {
+        line.clear();
+        assert!(log.read_line(&mut line).unwrap() > 0, "the program ended before it listened");
+    }
+    let addr = line.trim().rsplit(' ').next().unwrap().parse().unwrap();
+    // The log is read on, or the program would stand still once the pipe is full.
+    std::thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
+    (Program { child, addr, folder }, names)
+}
