--- a/src/engine/calls.rs
+++ b/src/engine/calls.rs
@@ -79,12 +79,14 @@
         self.live.iter().filter(|(_, c)| which(c)).map(|(&id, _)| id).collect()
     }
 
+    pub fn any_standing_at(&self, server: ServerId) -> bool {
+        self.live.values().any(|c| c.standing.as_ref().is_some_and(|s| s.server == server))
+    }
+
     /// Whether something at this call server is waited for.
     pub fn any_at(&self, server: ServerId) -> bool {
-        self.live.values().any(|c| {
-            c.standing.as_ref().is_some_and(|s| s.server == server)
-                || c.attempt.as_ref().is_some_and(|a| a.server == server)
-        })
+        let set_up = |c: &Call| c.attempt.as_ref().is_some_and(|a| a.server == server);
+        self.any_standing_at(server) || self.live.values().any(set_up)
     }
 
     pub fn any_on(&self, conn: ServerConn) -> bool {
--- a/src/engine/fleet.rs
+++ b/src/engine/fleet.rs
@@ -22,6 +22,7 @@
 struct Conn {
     id: ServerConn,
     open: bool,
+    opened_at: f64,
     /// Whether anything was heard on it yet, and when that was or, before, when it opened.
     heard: bool,
     heard_at: f64,
@@ -169,7 +170,7 @@
         };
         self.fleet.dialled += 1;
         let conn = ServerConn(self.fleet.dialled);
-        s.conns.push(Conn { id: conn, open: false, heard: false, heard_at: f64::NEG_INFINITY });
+        s.conns.push(Conn { id: conn, open: false, opened_at: self.now, heard: false, heard_at: self.now });
         self.fleet.by_conn.insert(conn, server);
         out.push(Effect::Dial { conn, addr: s.listing.addr, timeout_ms: self.host.dial_timeout_ms });
     }
@@ -184,7 +185,7 @@
         let Some(&server) = self.fleet.by_conn.get(&conn) else { return };
         let Some(s) = self.fleet.servers.get_mut(&server) else { return };
         if let Some(c) = s.conns.iter_mut().find(|c| c.id == conn) {
-            (c.open, c.heard_at) = (true, self.now);
+            (c.open, c.opened_at, c.heard_at) = (true, self.now, self.now);
         }
         for call in std::mem::take(&mut s.owed) {
             out.push(Effect::ToServer { conn, message: ToServer::Release(call), confirm: false });
@@ -193,7 +194,7 @@
     }
 
     pub(super) fn server_lost(&mut self, conn: ServerConn, how: Lost, out: &mut Vec<Effect>) {
-        let Some(server) = self.drop_conn(conn) else { return };
+        let Some((server, lived_ms)) = self.drop_conn(conn) else { return };
         let Some(s) = self.fleet.servers.get_mut(&server) else { return };
         let alone = s.conns.is_empty();
         log::debug!("connection to {}: {how:?}", s.listing.name);
@@ -211,20 +212,27 @@
                 self.end_waiting(server, Outcome::NotConnected);
                 self.timers.set(self.now + REDIAL_MS, Due::Redial(server));
             }
-        } else if alone {
+        } else if alone && lived_ms >= REDIAL_MS {
             // What ended meanwhile is told on the next connection; refused, it shows that the process died.
             self.dial(server, out);
+        } else if alone {
+            // One that closes every connection at once is not to be dialled in a tight loop.
+            self.timers.set(self.now + REDIAL_MS, Due::Redial(server));
         }
     }
 
-    /// The one place where a connection to a call server is given back; attempts on it end with it.
-    fn drop_conn(&mut self, conn: ServerConn) -> Option<ServerId> {
+    /// The one place where a connection to a call server is given back, with how long it was there, ms; attempts
+    /// on it end with it.
+    fn drop_conn(&mut self, conn: ServerConn) -> Option<(ServerId, f64)> {
         let server = self.fleet.by_conn.remove(&conn)?;
+        let mut lived_ms = 0.0;
         if let Some(s) = self.fleet.servers.get_mut(&server) {
-            s.conns.retain(|c| c.id != conn);
+            if let Some(i) = s.conns.iter().position(|c| c.id == conn) {
+                lived_ms = self.now - s.conns.remove(i).opened_at;
+            }
         }
         self.end_on(conn);
-        Some(server)
+        Some((server, lived_ms))
     }
 
     fn close(&mut self, conn: ServerConn, out: &mut Vec<Effect>) {
@@ -313,10 +321,13 @@
         } else if !self.calls.any_at(server) {
             // Nothing of ours is there: its silence says nothing, and may be just quiet.
         } else if silent_ms >= VANISHED_MS && (s.failed > 0 || s.conns.iter().any(mute)) {
-            log::warn!("{} has vanished: silent for {silent_ms:.0} ms", s.listing.name);
-            self.cut(server, f64::INFINITY, out);
-            self.close_all(server, out);
-            self.redial(server, out);
+            // Once given up, it is only dialled again and again: no more than that is to be closed.
+            if s.conns.iter().any(|c| c.open) || self.calls.any_standing_at(server) {
+                log::warn!("{} has vanished: silent for {silent_ms:.0} ms", s.listing.name);
+                self.cut(server, f64::INFINITY, out);
+                self.close_all(server, out);
+                self.redial(server, out);
+            }
         } else if !s.dialling() {
             self.dial(server, out);
         }
--- a/src/net/callers.rs
+++ b/src/net/callers.rs
@@ -53,7 +53,7 @@
         while bytes.len() >= 2 {
             let length = usize::from(u16::from_be_bytes([bytes[0], bytes[1]]));
             // Nothing that follows such a length can be told apart: the connection is of no more use.
-            if !(HEAD..=MESSAGE_MAX - 2).contains(&length) {
+            if !(HEAD..=MESSAGE_MAX).contains(&length) {
                 let text = format!("a message of {length} bytes");
                 return Err(io::Error::new(io::ErrorKind::InvalidData, text));
             }
@@ -175,7 +175,7 @@
             }
         };
         let length = HEAD + parameters.len();
-        if 2 + length > MESSAGE_MAX {
+        if length > MESSAGE_MAX {
             return Err(io::ErrorKind::InvalidInput.into());
         }
         bytes.reserve(2 + length);
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -7,7 +7,7 @@
 use std::cell::Cell;
 use std::collections::HashMap;
 use std::rc::Rc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::mpsc;
@@ -55,6 +55,7 @@
     let listener = TcpListener::bind(config.listen).await;
     let listener = listener.map_err(|e| format!("listening on {}: {e}", config.listen))?;
     let mut stops = signal(SignalKind::terminate()).map_err(|e| format!("signals: {e}"))?;
+    let mut interrupts = signal(SignalKind::interrupt()).map_err(|e| format!("signals: {e}"))?;
     let (sender, mut events) = mpsc::channel(EVENT_QUEUE);
     let mut driver = Driver::new(&config, sender.clone());
     tokio::task::spawn_local(beat(driver.clock.clone()));
@@ -76,14 +77,15 @@
                     driver.step(event);
                 }
             }
-            accepted = listener.accept(), if driver.callers.len() < driver.callers_max => match accepted {
+            accepted = listener.accept(), if driver.may_accept() => match accepted {
                 Ok((stream, _)) => driver.accept(stream),
                 Err(e) => {
                     log::warn!("accepting: {e}");
-                    sleep(ACCEPT_PAUSE).await;
+                    driver.accept_from = Instant::now() + ACCEPT_PAUSE;
                 }
             },
             _ = stops.recv() => driver.step(Event::Stop),
+            _ = interrupts.recv() => driver.step(Event::Stop),
             () = sleep(Duration::from_secs_f64(wait / 1000.0)) => driver.step(Event::Tick),
         }
     }
@@ -107,6 +109,8 @@
     events: mpsc::Sender<Event>,
     callers: HashMap<CallerConn, mpsc::Sender<ToCaller>>,
     callers_max: usize,
+    /// No connection is taken before then.
+    accept_from: Instant,
     accepted: u64,
     servers: HashMap<ServerConn, mpsc::Sender<Order>>,
     tasks: JoinSet<()>,
@@ -125,6 +129,7 @@
             callers: HashMap::new(),
             // Callers hold a third of the descriptors at most; the rest is for call servers and the program.
             callers_max: (config.sockets / 2).max(1),
+            accept_from: Instant::now(),
             accepted: 0,
             servers: HashMap::new(),
             tasks: JoinSet::new(),
@@ -181,6 +186,11 @@
         }
     }
 
+    /// The engine's timers turn the loop often enough for this to be looked at again.
+    fn may_accept(&self) -> bool {
+        self.callers.len() < self.callers_max && Instant::now() >= self.accept_from
+    }
+
     fn accept(&mut self, stream: TcpStream) {
         if let Err(e) = stream.set_nodelay(true) {
             log::debug!("a caller's connection: {e}");
--- a/tests/controller.rs
+++ b/tests/controller.rs
@@ -694,3 +694,44 @@
     rig.run_until(6500.0);
     assert!(rig.done.iter().any(|a| matches!(a, Action::Fail(_) | Action::Refuse { .. })));
 }
+
+/// Refused with no word of when to come back, callers came again at their own pace into the same full line.
+#[test]
+fn a_refused_caller_hears_when_to_come_back() {
+    let advice = |most: f64, redial: bool| {
+        let mut rig = Rig::new(Settings { stay_away_max_ms: most, ..settings() }, 1);
+        rig.give(Event::Servers { complete: true, entries: vec![entry(0, Listed::Draining, None)] });
+        rig.give(Event::Call(Call { id: CallId(1), expires_in_ms: 3000.0, redial, ..Call::default() }));
+        rig.done.iter().find_map(|a| match a {
+            Action::Refuse { stay_away_ms, .. } => Some(*stay_away_ms),
+            _ => None,
+        })
+    };
+    assert_eq!(advice(2000.0, true), Some(2000.0));
+    assert_eq!(advice(0.0, true), Some(0.0), "none where the settings allow none");
+}
+
+/// As long as a redial may still stand in its aim it hears the line's time, later the longest that is heeded.
+#[test]
+fn advice_is_short_while_the_aim_can_be_met() {
+    let mut rig = Rig::new(Settings { stay_away_max_ms: 2000.0, ..settings() }, 1);
+    let mut told = Vec::new();
+    for (id, redial) in [(1, false), (2, true)] {
+        rig.done.clear();
+        rig.give(Event::Call(Call { id: CallId(id), expires_in_ms: 3000.0, redial, ..Call::default() }));
+        let outcome = Outcome::ProcessorFull { wait_ms: None };
+        rig.give(Event::Ended {
+            call: CallId(id),
+            server: ServerId(0),
+            outcome,
+            closed: false,
+            report: LoadReport::default(),
+        });
+        rig.run_until(rig.now + 1000.0);
+        told.extend(rig.done.iter().filter_map(|a| match a {
+            Action::Refuse { stay_away_ms, .. } => Some(*stay_away_ms),
+            _ => None,
+        }));
+    }
+    assert_eq!(told, [200.0, 2000.0]);
+}
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -152,6 +152,18 @@
     drop((a, la));
 }
 
+/// One that closes every connection at once is not dialled in a tight loop.
+#[test]
+fn a_call_server_that_hangs_up_is_dialled_now_and_then() {
+    let a = Server::start("s-a", 0);
+    let (_program, _names) = start(&[&a]);
+    let since = Instant::now();
+    for _ in 0..4 {
+        drop(a.accept_mute());
+    }
+    assert!(since.elapsed() >= Duration::from_millis(900), "{:?}", since.elapsed());
+}
+
 /// One that is merely quiet tells its state on the connection that looks at it, and keeps its calls.
 #[test]
 fn a_quiet_call_server_keeps_its_calls() {
