--- a/src/engine/fleet.rs
+++ b/src/engine/fleet.rs
@@ -226,10 +226,10 @@
     fn drop_conn(&mut self, conn: ServerConn) -> Option<(ServerId, f64)> {
         let server = self.fleet.by_conn.remove(&conn)?;
         let mut lived_ms = 0.0;
-        if let Some(s) = self.fleet.servers.get_mut(&server) {
-            if let Some(i) = s.conns.iter().position(|c| c.id == conn) {
-                lived_ms = self.now - s.conns.remove(i).opened_at;
-            }
+        if let Some(s) = self.fleet.servers.get_mut(&server)
+            && let Some(i) = s.conns.iter().position(|c| c.id == conn)
+        {
+            lived_ms = self.now - s.conns.remove(i).opened_at;
         }
         self.end_on(conn);
         Some((server, lived_ms))
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -115,9 +115,12 @@
     stand(&mut caller, &mut la, 7);
     drop(caller);
     let mut other = program.ready_caller();
+    let since = Instant::now();
     drop(a.listener);
     drop(la);
     other.expect(12, 7, Some(41));
+    // Sooner than silence would tell.
+    assert!(since.elapsed() < Duration::from_secs(1), "{:?}", since.elapsed());
     other.set_up(8, 0, 9000);
     lb.expect("new", 8);
 }
@@ -208,12 +211,15 @@
     lb.expect("new", 8);
     lb.up(8);
     caller.expect(9, 8, None);
+    let since = Instant::now();
     let started_ms = std::time::UNIX_EPOCH.elapsed().unwrap().as_millis() as u64;
     let restarted = Listed { started_ms, ..a.listed.clone() };
     names.change(vec![restarted.clone(), b.listed.clone()], |_| {});
     caller.expect(12, 7, Some(41));
     names.change(vec![restarted, Listed { id: "s-c", started_ms, ..b.listed.clone() }], |_| {});
     caller.expect(12, 8, Some(41));
+    // Sooner than silence would tell.
+    assert!(since.elapsed() < Duration::from_secs(2), "{:?}", since.elapsed());
     assert_eq!(lb.hear(), None);
     b.accept();
 }
