Send a release again that crossed its connection's close

Seen: in a test of the release on the next connection, a release written just before its caller closed the connection was lost: the write succeeds, the reset comes after it. The caller would never have heard of the call's end.

At fault: calls.rs, caller_closed resent only what the connection's task had not written.

Now a release that went out within 250 ms of its connection's end, and that the caller did not say to have heard, goes out on another connection, once. The tests that close a connection in order now wait for its end.

--- a/src/engine/calls.rs
+++ b/src/engine/calls.rs
@@ -11,6 +11,8 @@
 const OVERDUE_MS: f64 = 5.0;
 /// Ended calls remembered, so that what crosses their end is told from news of a call before our start.
 const ENDED_MAX: usize = 4096;
+/// A connection that its caller closes so soon after a release went out may have crossed it, ms.
+const CROSSING_MS: f64 = 250.0;
 /// Releases kept for callers that have no connection open.
 const OWED_MAX: usize = 4096;
 
@@ -60,6 +62,8 @@
     conns: BTreeMap<CallerConn, bool>,
     /// Releases that no connection could take.
     owed: VecDeque<ToCaller>,
+    /// Releases that went out a moment ago and were not said to be heard, oldest first.
+    released: VecDeque<(f64, CallerConn, CallId, Release)>,
 }
 
 impl Calls {
@@ -115,7 +119,7 @@
         self.calls.conns.insert(conn, true);
         // Releases that found no connection have waited for this one.
         for message in std::mem::take(&mut self.calls.owed) {
-            out.push(Effect::ToCaller { conn, message });
+            self.tell_any_caller(conn, message, out);
         }
     }
 
@@ -127,6 +131,18 @@
         self.close_if_done(conn, out);
     }
 
+    /// A caller may close a connection with no call on it while a release is on its way there: it was lost then,
+    /// and goes out on another connection.
+    fn release_again(&mut self, conn: CallerConn, out: &mut Vec<Effect>) {
+        let since = self.now - CROSSING_MS;
+        let released = std::mem::take(&mut self.calls.released);
+        let (crossed, other): (VecDeque<_>, VecDeque<_>) = released.into_iter().partition(|r| r.1 == conn);
+        self.calls.released = other;
+        for (_, _, call, how) in crossed.into_iter().filter(|r| r.0 >= since) {
+            self.tell_any_caller(conn, ToCaller::Released { call, how }, out);
+        }
+    }
+
     fn close_if_done(&mut self, conn: CallerConn, out: &mut Vec<Effect>) {
         let waited_for = self.calls.live.values().any(|c| c.conn == conn && !c.answered);
         if self.calls.conns.get(&conn) == Some(&false) && !waited_for {
@@ -141,9 +157,13 @@
             self.given_up(call, out);
         }
         // A release that this connection could not take any more goes out on another.
-        for message in unsent.into_iter().filter(|m| matches!(m, ToCaller::Released { .. })) {
-            self.tell_any_caller(conn, message, out);
+        for message in unsent {
+            if let ToCaller::Released { call, .. } = message {
+                self.calls.released.retain(|r| r.2 != call);
+                self.tell_any_caller(conn, message, out);
+            }
         }
+        self.release_again(conn, out);
     }
 
     /// On the connection of the set-up, else on any; else on the next that opens.
@@ -152,7 +172,16 @@
         let own = conns.get(&conn).filter(|&&open| open).map(|_| conn);
         let any = || conns.iter().rev().find(|&(_, &open)| open).map(|(&conn, _)| conn);
         match own.or_else(any) {
-            Some(conn) => out.push(Effect::ToCaller { conn, message }),
+            Some(conn) => {
+                if let ToCaller::Released { call, how } = message {
+                    let since = self.now - CROSSING_MS;
+                    while self.calls.released.front().is_some_and(|r| r.0 < since) {
+                        self.calls.released.pop_front();
+                    }
+                    self.calls.released.push_back((self.now, conn, call, how));
+                }
+                out.push(Effect::ToCaller { conn, message });
+            }
             None => {
                 self.calls.owed.push_back(message);
                 if self.calls.owed.len() > OWED_MAX {
@@ -183,6 +212,7 @@
                 out.push(Effect::ToCaller { conn, message: ToCaller::Heard(call) });
                 self.released_by_caller(call, out);
             }
+            FromCaller::Heard(call) => self.calls.released.retain(|r| r.2 != call),
             FromCaller::Test(call) => {
                 let passed = self.ready();
                 out.push(Effect::ToCaller { conn, message: ToCaller::Tested { call, passed } });
--- a/src/engine/messages.rs
+++ b/src/engine/messages.rs
@@ -42,6 +42,8 @@
     },
     /// The set-up is given up, or the standing call released.
     Release(CallId),
+    /// A release of ours was heard.
+    Heard(CallId),
     Test(CallId),
 }
 
--- a/src/net/callers.rs
+++ b/src/net/callers.rs
@@ -80,6 +80,7 @@
             Err(fault) => FromCaller::Unreadable { call, fault },
         }),
         RELEASE => Some(FromCaller::Release(call)),
+        HEARD => Some(FromCaller::Heard(call)),
         TEST => Some(FromCaller::Test(call)),
         _ => None,
     }
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -113,7 +113,7 @@
 fn a_dead_call_server_cuts_its_calls() {
     let (a, _b, program, _names, mut la, mut lb, mut caller) = two();
     stand(&mut caller, &mut la, 7);
-    drop(caller);
+    caller.leave();
     let mut other = program.ready_caller();
     let since = Instant::now();
     drop(a.listener);
@@ -138,10 +138,46 @@
     drop(la);
     let mut la = a.accept();
     assert!(caller.test(), "nothing but the test's answer comes");
-    drop(caller);
+    caller.leave();
     la.down(7, 16, json!({}));
     la.expect("ack", 7);
-    program.caller().expect(12, 7, Some(16));
+    let mut caller = program.caller();
+    caller.expect(12, 7, Some(16));
+    // So does one of a call that stood before the program's start.
+    la.down(98, 41, json!({}));
+    caller.expect(12, 98, Some(41));
+}
+
+/// A caller closes its connection while a release is on its way there: it goes out again on the next.
+#[test]
+fn a_release_that_crosses_a_close_goes_out_again() {
+    let (_a, _b, program, _names, mut la, _lb, mut caller) = two();
+    for call in 1..=8 {
+        stand(&mut caller, &mut la, call);
+        la.down(call, 16, json!({}));
+        la.expect("ack", call);
+        // The release went out, or is about to, and is left unread.
+        drop(caller);
+        caller = program.caller();
+        caller.expect(12, call, Some(16));
+        // One that is said to be heard does not come again, however soon the connection closes.
+        caller.say(16, call, &[]);
+    }
+}
+
+/// A process that dies with something unread resets its connection: that alone cuts its calls.
+#[test]
+fn a_reset_connection_cuts_the_calls_there() {
+    let (a, _b, _program, _names, mut la, _lb, mut caller) = two();
+    stand(&mut caller, &mut la, 7);
+    caller.set_up(8, 0, 9000);
+    la.peek();
+    let since = Instant::now();
+    drop(la);
+    caller.expect(12, 7, Some(41));
+    // Sooner than silence would tell.
+    assert!(since.elapsed() < Duration::from_secs(1), "{:?}", since.elapsed());
+    drop(a);
 }
 
 /// A machine that vanished leaves its connections open and silent: what it took with it is released in time.
--- a/tests/process/rig.rs
+++ b/tests/process/rig.rs
@@ -190,6 +190,11 @@
         }
     }
 
+    /// Waits until something has come, and leaves it unread.
+    pub fn peek(&mut self) {
+        assert!(self.lines.get_ref().peek(&mut [0]).unwrap() > 0);
+    }
+
     pub fn gauge(&mut self) {
         self.say(
             json!({"t": "gauge", "ref": "0000000000000000", "f": {"load": "x0:90;x1:100;latency_ms:-1"}}),
@@ -268,6 +273,12 @@
         heard
     }
 
+    /// Closes in order: returns once the program has closed its side too.
+    pub fn leave(mut self) {
+        self.stream.shutdown(std::net::Shutdown::Write).unwrap();
+        assert_eq!(self.hear(), None);
+    }
+
     /// A round trip: what the program had to say before its answer has been said.
     pub fn test(&mut self) -> bool {
         self.say(52, 0, &[(143, &[0])]);
