Let the replaced-server test start its server after the call stood

At fault: the test. Its start is a whole millisecond, rounded down; where the call came to stand later in that same millisecond the start lies before it, and the engine (fleet.rs, listed; calls.rs, cut) rightly keeps the call. The start is now the next millisecond.

--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -264,7 +264,8 @@
     lb.up(8);
     caller.expect(9, 8, None);
     let since = Instant::now();
-    let started_ms = std::time::UNIX_EPOCH.elapsed().unwrap().as_millis() as u64;
+    // In the next millisecond: the call stood before, also where both fall into one.
+    let started_ms = std::time::UNIX_EPOCH.elapsed().unwrap().as_millis() as u64 + 1;
     let restarted = Listed { started_ms, ..a.listed.clone() };
     names.change(vec![restarted.clone(), b.listed.clone()], |_| {});
     caller.expect(12, 7, Some(41));
