Read the configuration again on SIGHUP; before, it ended the program

Checked: no handler in net/driver.rs `serve` (the default action of SIGHUP ends a process); names::poll held its first address for good, and ended for good if its socket could not be opened. Now: the handler is the first thing set up; the file is read and validated whole (config::Source), a bad one is logged and changes nothing; the name service is asked from a new socket at once; settings and limits.sockets follow; serial, calls and connections go on. The module takes new settings as an event.

--- a/src/config.rs
+++ b/src/config.rs
@@ -7,7 +7,7 @@
 use serde_json::Value;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::PathBuf;
 
 /// Everything the program is told.
 #[derive(Debug)]
@@ -83,10 +83,21 @@
     started_ms: f64,
 }
 
-/// Reads the configuration; `listen` and `name` stand in for what the file says.
-pub fn read(path: &Path, listen: Option<SocketAddr>, name: Option<String>) -> Result<Config, String> {
-    let text = std::fs::read(path).map_err(|e| format!("{}: {e}", path.display()))?;
-    parse(&text, listen, name).map_err(|e| format!("{}: {e}", path.display()))
+/// Where the configuration comes from; `listen` and `name` stand in for what the file says.
+#[derive(Clone, Debug)]
+pub struct Source {
+    pub path: PathBuf,
+    pub listen: Option<SocketAddr>,
+    pub name: Option<String>,
+}
+
+impl Source {
+    /// Reads the file, whole or not at all.
+    pub fn read(&self) -> Result<Config, String> {
+        let told = |e: String| format!("{}: {e}", self.path.display());
+        let text = std::fs::read(&self.path).map_err(|e| told(e.to_string()))?;
+        parse(&text, self.listen, self.name.clone()).map_err(told)
+    }
 }
 
 fn parse(text: &[u8], listen: Option<SocketAddr>, name: Option<String>) -> Result<Config, String> {
--- a/src/engine/messages.rs
+++ b/src/engine/messages.rs
@@ -1,6 +1,7 @@
 //! What the reducer hears and asks for, in no protocol's words: each front has its own codec for these.
 
-use crate::interface::{CallId, Listed, LoadReport};
+use crate::interface::{CallId, Listed, LoadReport, Settings};
+use crate::settings::HostSettings;
 use std::net::SocketAddr;
 
 /// A connection from callers, as the driver numbers it.
@@ -191,6 +192,11 @@
     },
     /// A timer may be due.
     Tick,
+    /// The configuration was read again.
+    Settings {
+        settings: Settings,
+        host: HostSettings,
+    },
     /// A planned stop.
     Stop,
 }
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -100,6 +100,7 @@
             Event::Written { conn, call } => self.release_written(conn, call),
             Event::ServerLost { conn, how } => self.server_lost(conn, how, out),
             Event::List { serial, servers } => self.follow_list(serial, servers, out),
+            Event::Settings { settings, host } => self.follow_settings(settings, host),
             Event::Tick => {}
             Event::Stop => self.stop(),
         }
@@ -165,7 +166,16 @@
         }
     }
 
-    // ---- start and stop ----
+    // ---- settings, start and stop ----
+
+    /// Calls carry their class by its place in the settings: that can't change under those that are open.
+    fn follow_settings(&mut self, settings: Settings, host: HostSettings) {
+        if host.classes != self.host.classes {
+            return log::error!("other classes need a restart: the settings stay as they were");
+        }
+        (self.guard_ms, self.max_attempts, self.host) = (settings.guard_ms, settings.max_attempts, host);
+        self.news.push_back(module::Event::Settings(settings));
+    }
 
     /// Work may come: every call server has told its state or could not be reached.
     fn ready(&self) -> bool {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -178,6 +178,8 @@
     Told { server: ServerId, report: LoadReport },
     /// A timer set by [`Action::Timer`] fell due.
     Timer(u64),
+    /// The settings changed, but for the classes' order; all else goes on.
+    Settings(Settings),
 }
 
 /// What the host is to do.
--- a/src/main.rs
+++ b/src/main.rs
@@ -50,7 +50,7 @@
 #[argh(subcommand, name = "version")]
 struct Version {}
 
-fn read(path: Option<PathBuf>, listen: Option<SocketAddr>) -> Result<config::Config, String> {
+fn source(path: Option<PathBuf>, listen: Option<SocketAddr>) -> Result<config::Source, String> {
     let variable = |name: &str| std::env::var(name).ok().filter(|v| !v.is_empty());
     let path = path.or_else(|| variable("GW_CONFIG").map(PathBuf::from));
     let path = path.ok_or("no configuration: give --config or set GW_CONFIG")?;
@@ -58,18 +58,19 @@
         (None, Some(text)) => Some(text.parse().map_err(|e| format!("GW_LISTEN {text}: {e}"))?),
         (listen, _) => listen,
     };
-    config::read(&path, listen, variable("GW_NAME"))
+    Ok(config::Source { path, listen, name: variable("GW_NAME") })
 }
 
 fn run(command: Command) -> Result<(), String> {
     match command {
         Command::Serve(serve) => {
-            let config = read(serve.config, serve.listen)?;
+            let source = source(serve.config, serve.listen)?;
+            let config = source.read()?;
             logger::start(&config.name, serve.log)?;
-            net::driver::run(config)
+            net::driver::run(config, source)
         }
         Command::Check(check) => {
-            let config = read(check.config, None)?;
+            let config = source(check.config, None)?.read()?;
             println!(
                 "{}: {} call servers known, listening on {}",
                 config.name,
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -2,15 +2,16 @@
 
 use super::servers::Order;
 use super::{WRITE_QUEUE, callers, names, servers};
-use crate::config::Config;
+use crate::config::{Config, Source};
 use crate::engine::{CallerConn, Effect, Engine, Event, ServerConn, ToCaller};
 use std::cell::Cell;
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::task::{JoinSet, LocalSet};
 use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
 
@@ -45,28 +46,28 @@
 }
 
 /// Runs the border controller until it is stopped.
-pub fn run(config: Config) -> Result<(), String> {
+pub fn run(config: Config, source: Source) -> Result<(), String> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
-    LocalSet::new().block_on(&runtime, serve(config))
+    LocalSet::new().block_on(&runtime, serve(config, source))
 }
 
-async fn serve(config: Config) -> Result<(), String> {
+async fn serve(mut config: Config, source: Source) -> Result<(), String> {
+    // First of all: a SIGHUP without a handler ends the program.
+    let mut hangups = signal(SignalKind::hangup()).map_err(|e| format!("signals: {e}"))?;
     let listener = TcpListener::bind(config.listen).await;
     let listener = listener.map_err(|e| format!("listening on {}: {e}", config.listen))?;
     let mut stops = signal(SignalKind::terminate()).map_err(|e| format!("signals: {e}"))?;
     let mut interrupts = signal(SignalKind::interrupt()).map_err(|e| format!("signals: {e}"))?;
     let (sender, mut events) = mpsc::channel(EVENT_QUEUE);
-    let mut driver = Driver::new(&config, sender.clone());
+    let (names, at) = watch::channel(config.names);
+    let mut driver = Driver::new(&config, sender.clone(), names);
     tokio::task::spawn_local(beat(driver.clock.clone()));
-    tokio::task::spawn_local(async move {
-        if let Err(e) = names::poll(config.names, config.seed, sender).await {
-            log::error!("name service: {e}");
-        }
-    });
+    tokio::task::spawn_local(names::poll(at, config.seed, sender));
     let listening = listener.local_addr().map_err(|e| format!("listening: {e}"))?;
     log::info!("listening on {listening}");
-    driver.step(Event::List { serial: config.serial, servers: config.known });
+    let known = std::mem::take(&mut config.known);
+    driver.step(Event::List { serial: config.serial, servers: known });
     while !driver.exiting {
         let wait = driver.engine.next_due().map_or(1000.0, |due| due - driver.clock.now()).clamp(0.0, 1000.0);
         tokio::select! {
@@ -84,6 +85,10 @@
                     driver.accept_from = Instant::now() + ACCEPT_PAUSE;
                 }
             },
+            _ = hangups.recv() => match source.read() {
+                Ok(new) => driver.follow(&config, new),
+                Err(e) => log::error!("the configuration stays as it was: {e}"),
+            },
             _ = stops.recv() => driver.step(Event::Stop),
             _ = interrupts.recv() => driver.step(Event::Stop),
             () = sleep(Duration::from_secs_f64(wait / 1000.0)) => driver.step(Event::Tick),
@@ -93,6 +98,11 @@
     Ok(())
 }
 
+/// Callers hold a third of the descriptors at most; the rest is for call servers and the program.
+fn callers_max(config: &Config) -> usize {
+    (config.sockets / 2).max(1)
+}
+
 async fn beat(clock: Clock) {
     let mut ticks = interval(PULSE);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -107,6 +117,8 @@
     engine: Engine,
     clock: Clock,
     events: mpsc::Sender<Event>,
+    /// Where the name service is.
+    names: watch::Sender<SocketAddr>,
     callers: HashMap<CallerConn, mpsc::Sender<ToCaller>>,
     callers_max: usize,
     /// No connection is taken before then.
@@ -119,16 +131,16 @@
 }
 
 impl Driver {
-    fn new(config: &Config, events: mpsc::Sender<Event>) -> Self {
+    fn new(config: &Config, events: mpsc::Sender<Event>, names: watch::Sender<SocketAddr>) -> Self {
         let clock = Clock::default();
         let engine = Engine::new(config.settings.clone(), config.host.clone(), config.seed, clock.now());
         Driver {
             engine,
             clock,
             events,
+            names,
             callers: HashMap::new(),
-            // Callers hold a third of the descriptors at most; the rest is for call servers and the program.
-            callers_max: (config.sockets / 2).max(1),
+            callers_max: callers_max(config),
             accept_from: Instant::now(),
             accepted: 0,
             servers: HashMap::new(),
@@ -138,6 +150,19 @@
         }
     }
 
+    /// The configuration was read again: what may change under a running program does; calls, connections and
+    /// the list's serial go on.
+    fn follow(&mut self, started: &Config, new: Config) {
+        log::info!("configuration read again: name service at {}", new.names);
+        if new.listen != started.listen {
+            log::warn!("listening on {} needs a restart", new.listen);
+        }
+        self.callers_max = callers_max(&new);
+        // Also if it is the same address: the socket is a new one then, and asks at once.
+        self.names.send_replace(new.names);
+        self.step(Event::Settings { settings: new.settings, host: new.host });
+    }
+
     fn step(&mut self, event: Event) {
         let closed = match &event {
             Event::CallerClosed { conn, .. } => self.callers.remove(conn).is_some(),
--- a/src/net/names.rs
+++ b/src/net/names.rs
@@ -9,8 +9,8 @@
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::time::Duration;
 use tokio::net::UdpSocket;
-use tokio::sync::mpsc;
-use tokio::time::{MissedTickBehavior, interval};
+use tokio::sync::{mpsc, watch};
+use tokio::time::{MissedTickBehavior, interval, sleep};
 
 /// Where the list is kept.
 const POOL: &str = "_back._tcp.pool.lan.";
@@ -22,18 +22,40 @@
 /// Above the 8,000 bytes that an answer may hold.
 const ANSWER_MAX: usize = 16 * 1024;
 
-/// Asks for the list for as long as the program runs. The task owns the socket.
-pub async fn poll(server: SocketAddr, seed: u64, events: mpsc::Sender<Event>) -> io::Result<()> {
+/// Asks for the list for as long as the program runs, at the address that `server` holds at the time.
+pub async fn poll(mut server: watch::Receiver<SocketAddr>, seed: u64, events: mpsc::Sender<Event>) {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    loop {
+        let addr = *server.borrow_and_update();
+        match ask(addr, &mut server, &mut rng, &events).await {
+            Ok(true) => log::info!("name service: now at {}", *server.borrow()),
+            Ok(false) => return,
+            // No descriptor may be free for a moment: the list must be asked for all the same, later.
+            Err(e) => {
+                log::warn!("name service: {e}");
+                sleep(POLL).await;
+            }
+        }
+    }
+}
+
+/// Asks at one address until another is told of (true) or the program ends. It owns the socket.
+async fn ask(
+    addr: SocketAddr,
+    server: &mut watch::Receiver<SocketAddr>,
+    rng: &mut fastrand::Rng,
+    events: &mpsc::Sender<Event>,
+) -> io::Result<bool> {
     let socket = UdpSocket::bind(SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0)).await?;
     // Only what comes from the name service's own address is received.
-    socket.connect(server).await?;
-    let mut rng = fastrand::Rng::with_seed(seed);
+    socket.connect(addr).await?;
     let mut asked: VecDeque<u16> = VecDeque::new();
     let mut ticks = interval(POLL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut buffer = vec![0; ANSWER_MAX];
     loop {
         tokio::select! {
+            changed = server.changed() => return Ok(changed.is_ok()),
             _ = ticks.tick() => {
                 let id = rng.u16(..);
                 asked.push_back(id);
@@ -50,7 +72,7 @@
                 match answer {
                     Ok((serial, servers)) => {
                         if events.send(Event::List { serial, servers }).await.is_err() {
-                            return Ok(());
+                            return Ok(false);
                         }
                     }
                     Err(e) => log::debug!("name service: {e}"),
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -357,6 +357,7 @@
             Event::Lines { server, report } => self.read_lines(server, &report),
             Event::Probed { server, outcome, report } => self.probed(now, server, outcome, &report, out),
             Event::Told { server, report } => self.told(now, server, &report),
+            Event::Settings(settings) => self.settings = settings,
             Event::Timer(token) => {
                 if let Some(id) = self.wakes.remove(&token) {
                     self.advance(now, id, out);
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -346,6 +346,42 @@
     assert!(program.wait().success());
 }
 
+/// SIGHUP: the configuration is read again, and a bad one leaves all as it was. With a good one the list is
+/// asked for at its address, the serial goes on, and calls and connections are not touched.
+#[test]
+fn a_hangup_moves_the_name_service_and_nothing_else() {
+    let (a, b, program, names, mut la, mut lb, mut caller) = two();
+    stand(&mut caller, &mut la, 7);
+    for bad in
+        ["", "{\"dns\":", "[]", "{\"dns\": \"127.0.0.1:1\", \"known\": {\"seq\": 9}, \"settings\": {}}"]
+    {
+        program.reload(bad);
+    }
+    names.change(vec![Listed { draining: true, ..a.listed.clone() }, b.listed.clone()], |_| {});
+    // Twice, the old one answering no more.
+    let mut old = names;
+    for call in [10, 20] {
+        let new = Names::start();
+        let serial = old.state.lock().unwrap().serial;
+        old.state.lock().unwrap().lose = u32::MAX;
+        caller.set_up(call, 0, 9000);
+        lb.expect("new", call);
+        program.reload(&program.file_with(&new));
+        // An older list there is not followed.
+        new.change(vec![], |state| state.serial = serial - 1);
+        lb.up(call);
+        caller.expect(9, call, None);
+        new.change(vec![a.listed.clone(), Listed { draining: true, ..b.listed.clone() }], |state| {
+            state.serial = serial + 1;
+        });
+        stand(&mut caller, &mut la, call + 1);
+        new.change(vec![Listed { draining: true, ..a.listed.clone() }, b.listed.clone()], |_| {});
+        old = new;
+    }
+    la.down(7, 16, json!({}));
+    caller.expect(12, 7, Some(16));
+}
+
 #[test]
 fn what_is_wrong_at_the_start_is_one_line() {
     let complaint = |arguments: &[&str]| {
--- a/tests/process/rig.rs
+++ b/tests/process/rig.rs
@@ -56,7 +56,7 @@
 }
 
 impl Names {
-    fn start() -> Names {
+    pub fn start() -> Names {
         let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
         let addr = socket.local_addr().unwrap();
         let state = Arc::new(Mutex::new(NamesState { serial: 1, ..NamesState::default() }));
@@ -90,6 +90,11 @@
         (state.serial, state.list, state.told) = (state.serial + 1, list, 0);
         more(&mut state);
         drop(state);
+        self.wait_until_told();
+    }
+
+    /// Returns once the program has asked again after it was told.
+    pub fn wait_until_told(&self) {
         let since = Instant::now();
         while self.state.lock().unwrap().told < 2 {
             assert!(since.elapsed() < PATIENCE, "the program does not ask");
@@ -297,6 +302,7 @@
     pub child: Child,
     addr: SocketAddr,
     folder: std::path::PathBuf,
+    config: Value,
 }
 
 impl Program {
@@ -317,8 +323,27 @@
     }
 
     pub fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
-        assert!(Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
+        assert!(Command::new("kill").args([name, &pid]).status().unwrap().success());
+    }
+
+    /// The configuration's file, with another name service.
+    pub fn file_with(&self, names: &Names) -> String {
+        let mut config = self.config.clone();
+        config["dns"] = json!(names.addr);
+        config.to_string()
+    }
+
+    /// Replaces the configuration's file and says so.
+    pub fn reload(&self, text: &str) {
+        let new = self.folder.join("new.json");
+        std::fs::write(&new, text).unwrap();
+        std::fs::rename(new, self.folder.join("config.json")).unwrap();
+        self.signal("-HUP");
     }
 
     pub fn wait(&mut self) -> ExitStatus {
@@ -377,5 +402,5 @@
     let addr = line.trim().rsplit(' ').next().unwrap().parse().unwrap();
     // The log is read on, or the program would stand still once the pipe is full.
     std::thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
-    (Program { child, addr, folder }, names)
+    (Program { child, addr, folder, config }, names)
 }
