Turn bad clients away: strict set-ups, one id one call, silent connections closed

Set-ups without an id, with a wait of, dest:99/-3/nan, width:0/400 or an x for figures went on to call servers; these answered 47 up to six times a call and closed the connection on id 0 (54 closed connections). Ruled out: crossed releases (no release of a standing id from a bad client was seen). Now: engine/callers.rs owns callers' connections; figures are held against the settings; an id names one call; 2 s without a whole message, half a message, or 16 faults close a connection; beyond three quarters of the descriptors the quietest makes room; a reset cuts nothing by itself, a refused dial does; half a line from a call server ends its connection. Names of call servers that are gone are forgotten.

--- a/src/config.rs
+++ b/src/config.rs
@@ -15,8 +15,6 @@
     pub name: String,
     pub listen: SocketAddr,
     pub seed: u64,
-    /// Descriptors that the program may hold.
-    pub sockets: usize,
     pub names: SocketAddr,
     /// The last event of the name service at the start, and the list as it was then.
     pub serial: u32,
@@ -108,16 +106,24 @@
         name: name.unwrap_or(file.name),
         listen: listen.or(file.listen).ok_or("no address to listen on")?,
         seed: seed(&file.seed),
-        sockets: file.limits.sockets,
         names: file.dns,
         serial: file.known.seq,
         known: list(file.known)?,
         settings,
-        host: settings::parse_host(inner.as_bytes())?,
+        host: HostSettings {
+            callers_max: callers_max(file.limits.sockets),
+            ..settings::parse_host(inner.as_bytes())?
+        },
         columns,
     })
 }
 
+/// Callers' connections take three quarters of the descriptors: callers hold a third, and clients that say
+/// nothing must not shut them out. The rest is for call servers, the name service and the program.
+fn callers_max(sockets: usize) -> usize {
+    (sockets / 4 * 3).max(1)
+}
+
 /// The seed is hexadecimal; any other text still makes one.
 fn seed(text: &str) -> u64 {
     u64::from_str_radix(text, 16)
--- /dev/null
+++ b/src/engine/callers.rs
@@ -0,0 +1,215 @@
+//! Callers' connections: which are kept, what one of them may take, and on which a caller is told.
+
+use super::{CallerConn, Due, Effect, Engine, Fault, FromCaller, Release, ToCaller};
+use crate::interface::CallId;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// A connection that has asked nothing whole for so long is closed, ms. Who connects and says nothing, or half a
+/// message, takes a descriptor from callers that have something to say; 3 s is the most such a client is owed.
+const SILENT_MS: f64 = 2000.0;
+/// So many messages that can't be taken up, and the connection is closed: one that repeats them at full speed
+/// would take the program's time from all others. Callers in good order send none.
+const FAULTS_MAX: u32 = 16;
+/// Set-ups open on one connection at most, and releases of calls unknown here that are passed on for one
+/// between two looks: beyond that it takes the share of others.
+const OPEN_MAX: usize = 512;
+const PASSED_ON_MAX: u32 = 64;
+/// A connection that its caller closes so soon after a release went out may have crossed it, ms.
+const CROSSING_MS: f64 = 250.0;
+/// Releases kept for callers that have no connection open.
+const OWED_MAX: usize = 4096;
+
+struct Conn {
+    /// The caller may send more on it.
+    open: bool,
+    /// It has sent a whole message.
+    asked: bool,
+    heard_at: f64,
+    faults: u32,
+    passed_on: u32,
+}
+
+#[derive(Default)]
+pub(super) struct Callers {
+    conns: BTreeMap<CallerConn, Conn>,
+    /// Releases that no connection could take.
+    owed: VecDeque<ToCaller>,
+    /// Releases that went out a moment ago and were not said to be heard, oldest first.
+    released: VecDeque<(f64, CallerConn, CallId, Release)>,
+}
+
+impl Engine {
+    pub(super) fn caller_opened(&mut self, conn: CallerConn, out: &mut Vec<Effect>) {
+        let heard_at = self.now;
+        let new = Conn { open: true, asked: false, heard_at, faults: 0, passed_on: 0 };
+        self.callers.conns.insert(conn, new);
+        self.timers.set(self.now + SILENT_MS, Due::CallerSilent(conn));
+        // Releases that found no connection have waited for this one.
+        for message in std::mem::take(&mut self.callers.owed) {
+            self.tell_any_caller(conn, message, out);
+        }
+        if self.callers.conns.len() > self.host.callers_max {
+            self.make_room(conn, out);
+        }
+    }
+
+    /// Too many connections: the one that has been quiet longest goes, first of all one that never asked. None
+    /// with a set-up open on it does, and not the new one.
+    fn make_room(&mut self, new: CallerConn, out: &mut Vec<Effect>) {
+        let busy: BTreeSet<CallerConn> = self.calls.waiting_on().collect();
+        let idle = self.callers.conns.iter().filter(|(id, _)| **id != new && !busy.contains(id));
+        let oldest =
+            idle.min_by(|(_, a), (_, b)| a.asked.cmp(&b.asked).then(a.heard_at.total_cmp(&b.heard_at)));
+        if let Some(conn) = oldest.map(|(&id, _)| id) {
+            self.close_caller(conn, out);
+        }
+    }
+
+    pub(super) fn caller_silent(&mut self, conn: CallerConn, out: &mut Vec<Effect>) {
+        if self.callers.conns.get(&conn).is_some_and(|c| !c.asked) {
+            self.close_caller(conn, out);
+        }
+    }
+
+    /// The one place where a connection is closed from here. What still comes on it was never taken up: a caller
+    /// whose set-up crossed the close sends it again on a new connection.
+    fn close_caller(&mut self, conn: CallerConn, out: &mut Vec<Effect>) {
+        if self.callers.conns.remove(&conn).is_some() {
+            out.push(Effect::CloseCaller(conn));
+        }
+    }
+
+    /// A caller may shut its side and still wait for answers: they go out before the connection is closed.
+    pub(super) fn caller_eof(&mut self, conn: CallerConn, out: &mut Vec<Effect>) {
+        if let Some(c) = self.callers.conns.get_mut(&conn) {
+            c.open = false;
+        }
+        self.close_if_done(conn, out);
+    }
+
+    pub(super) fn close_if_done(&mut self, conn: CallerConn, out: &mut Vec<Effect>) {
+        let shut = self.callers.conns.get(&conn).is_some_and(|c| !c.open);
+        if shut && !self.calls.waiting_on().any(|on| on == conn) {
+            self.close_caller(conn, out);
+        }
+    }
+
+    /// Set-ups open on it are given up with it; standing calls belong to no connection.
+    pub(super) fn caller_closed(&mut self, conn: CallerConn, unsent: Vec<ToCaller>, out: &mut Vec<Effect>) {
+        self.callers.conns.remove(&conn);
+        self.give_up_on(conn, out);
+        // A release that this connection could not take any more goes out on another.
+        for message in unsent {
+            if let ToCaller::Released { call, .. } = message {
+                self.callers.released.retain(|r| r.2 != call);
+                self.tell_any_caller(conn, message, out);
+            }
+        }
+        self.release_again(conn, out);
+    }
+
+    /// A caller may close a connection with no call on it while a release is on its way there: it was lost then,
+    /// and goes out on another connection.
+    fn release_again(&mut self, conn: CallerConn, out: &mut Vec<Effect>) {
+        let since = self.now - CROSSING_MS;
+        let released = std::mem::take(&mut self.callers.released);
+        let (crossed, other): (VecDeque<_>, VecDeque<_>) = released.into_iter().partition(|r| r.1 == conn);
+        self.callers.released = other;
+        for (_, _, call, how) in crossed.into_iter().filter(|r| r.0 >= since) {
+            self.tell_any_caller(conn, ToCaller::Released { call, how }, out);
+        }
+    }
+
+    /// On the connection of the set-up, else on any that has asked something; else on the next that opens.
+    pub(super) fn tell_any_caller(&mut self, conn: CallerConn, message: ToCaller, out: &mut Vec<Effect>) {
+        let conns = &self.callers.conns;
+        let own = conns.get(&conn).filter(|c| c.open).map(|_| conn);
+        // The one heard last is the least likely to be closed by its caller meanwhile.
+        let any = || {
+            let open = conns.iter().filter(|(_, c)| c.open);
+            open.max_by(|(_, a), (_, b)| a.asked.cmp(&b.asked).then(a.heard_at.total_cmp(&b.heard_at)))
+        };
+        match own.or_else(|| any().map(|(&conn, _)| conn)) {
+            Some(conn) => {
+                if let ToCaller::Released { call, how } = message {
+                    let since = self.now - CROSSING_MS;
+                    while self.callers.released.front().is_some_and(|r| r.0 < since) {
+                        self.callers.released.pop_front();
+                    }
+                    self.callers.released.push_back((self.now, conn, call, how));
+                }
+                out.push(Effect::ToCaller { conn, message });
+            }
+            None => {
+                self.callers.owed.push_back(message);
+                if self.callers.owed.len() > OWED_MAX {
+                    self.callers.owed.pop_front();
+                }
+            }
+        }
+    }
+
+    // ---- what callers say ----
+
+    pub(super) fn hear_caller(
+        &mut self,
+        conn: CallerConn,
+        read_at: f64,
+        message: FromCaller,
+        out: &mut Vec<Effect>,
+    ) {
+        // A connection that was closed from here is no longer heard.
+        let Some(c) = self.callers.conns.get_mut(&conn) else { return };
+        (c.asked, c.heard_at) = (true, self.now);
+        match message {
+            FromCaller::SetUp(set_up) => {
+                let call = set_up.call;
+                if self.calls.waiting_on().filter(|&on| on == conn).count() >= OPEN_MAX {
+                    let refused = ToCaller::Refused { call, stay_away_ms: 0.0 };
+                    out.push(Effect::ToCaller { conn, message: refused });
+                } else if let Err(fault) = self.set_up(conn, read_at, set_up, out) {
+                    self.turn_away(conn, call, fault, out);
+                }
+            }
+            FromCaller::Unreadable { call, fault } => self.turn_away(conn, call, fault, out),
+            FromCaller::Release(call) => {
+                out.push(Effect::ToCaller { conn, message: ToCaller::Heard(call) });
+                if !self.released_by_caller(conn, call, out) && self.may_pass_on(conn) {
+                    self.release_everywhere(call, out);
+                }
+            }
+            FromCaller::Heard(call) => self.callers.released.retain(|r| r.2 != call),
+            FromCaller::Test(call) => {
+                let passed = self.ready();
+                out.push(Effect::ToCaller { conn, message: ToCaller::Tested { call, passed } });
+            }
+        }
+    }
+
+    /// What can't be taken up is answered on its own connection. A call there under the same id ends with it, as
+    /// nobody could tell which of the two an answer means; one on another connection, whose id was only
+    /// borrowed, is not touched.
+    fn turn_away(&mut self, conn: CallerConn, call: CallId, fault: Fault, out: &mut Vec<Effect>) {
+        if self.calls.conn_of(call) == Some(conn) {
+            self.released_by_caller(conn, call, out);
+        }
+        out.push(Effect::ToCaller { conn, message: ToCaller::Unreadable { call, fault } });
+        if let Some(c) = self.callers.conns.get_mut(&conn) {
+            c.faults += 1;
+            if c.faults >= FAULTS_MAX {
+                log::debug!("caller {}: too much that can't be taken up", conn.0);
+                self.close_caller(conn, out);
+            }
+        }
+    }
+
+    fn may_pass_on(&mut self, conn: CallerConn) -> bool {
+        let Some(c) = self.callers.conns.get_mut(&conn) else { return false };
+        c.passed_on += 1;
+        c.passed_on <= PASSED_ON_MAX
+    }
+
+    pub(super) fn look_at_callers(&mut self) {
+        self.callers.conns.values_mut().for_each(|c| c.passed_on = 0);
+    }
+}
--- a/src/engine/calls.rs
+++ b/src/engine/calls.rs
@@ -1,20 +1,16 @@
 //! Calls and their attempts: from the set-up to the one final answer, and to the release of what stood.
 
-use super::{
-    CallerConn, Due, Effect, Ending, Engine, Fault, FromCaller, Release, ServerConn, SetUp, ToCaller,
-    ToServer,
-};
+use super::{CallerConn, Due, Effect, Ending, Engine, Fault, Release, ServerConn, SetUp, ToCaller, ToServer};
 use crate::interface::{self as module, CallId, LoadReport, Outcome, ServerId};
-use std::collections::{BTreeMap, VecDeque};
+use crate::settings::ClassRules;
+use std::collections::{BTreeMap, HashSet, VecDeque};
 
 /// The module answers before the caller's time is over; if it has not this long after, the engine does, ms.
 const OVERDUE_MS: f64 = 5.0;
 /// Ended calls remembered, so that what crosses their end is told from news of a call before our start.
 const ENDED_MAX: usize = 4096;
-/// A connection that its caller closes so soon after a release went out may have crossed it, ms.
-const CROSSING_MS: f64 = 250.0;
-/// Releases kept for callers that have no connection open.
-const OWED_MAX: usize = 4096;
+/// A caller waits no longer than its class's deadline, give or take; a longer wait is no figure.
+const WAIT_SLACK: f64 = 2.0;
 
 /// An attempt that has not ended.
 struct Attempt {
@@ -53,17 +49,30 @@
     standing: Option<Standing>,
 }
 
+/// Calls of late that are over.
+#[derive(Default)]
+struct Ended {
+    oldest_first: VecDeque<CallId>,
+    all: HashSet<CallId>,
+}
+
+impl Ended {
+    fn add(&mut self, call: CallId) {
+        if self.all.insert(call) {
+            self.oldest_first.push_back(call);
+        }
+        if self.oldest_first.len() > ENDED_MAX
+            && let Some(oldest) = self.oldest_first.pop_front()
+        {
+            self.all.remove(&oldest);
+        }
+    }
+}
+
 #[derive(Default)]
 pub(super) struct Calls {
     live: BTreeMap<CallId, Call>,
-    /// Calls of late that are over, oldest first.
-    ended: VecDeque<CallId>,
-    /// Connections from callers; `false`: the caller sends no more on it.
-    conns: BTreeMap<CallerConn, bool>,
-    /// Releases that no connection could take.
-    owed: VecDeque<ToCaller>,
-    /// Releases that went out a moment ago and were not said to be heard, oldest first.
-    released: VecDeque<(f64, CallerConn, CallId, Release)>,
+    ended: Ended,
 }
 
 impl Calls {
@@ -75,6 +84,16 @@
         self.live.values().all(|c| c.answered && c.attempt.is_none())
     }
 
+    /// The connections of the set-ups that wait for an answer.
+    pub fn waiting_on(&self) -> impl Iterator<Item = CallerConn> {
+        self.live.values().filter(|c| !c.answered).map(|c| c.conn)
+    }
+
+    /// The connection of a call's set-up.
+    pub fn conn_of(&self, call: CallId) -> Option<CallerConn> {
+        self.live.get(&call).map(|c| c.conn)
+    }
+
     fn in_set_up(&self) -> usize {
         self.live.values().filter(|c| c.standing.is_none()).count()
     }
@@ -104,138 +123,33 @@
     /// The one place where a call is given back.
     fn forget(&mut self, call: CallId) {
         if self.live.remove(&call).is_some() {
-            self.ended.push_back(call);
-            if self.ended.len() > ENDED_MAX {
-                self.ended.pop_front();
-            }
+            self.ended.add(call);
         }
     }
 }
 
 impl Engine {
-    // ---- callers' connections ----
-
-    pub(super) fn caller_opened(&mut self, conn: CallerConn, out: &mut Vec<Effect>) {
-        self.calls.conns.insert(conn, true);
-        // Releases that found no connection have waited for this one.
-        for message in std::mem::take(&mut self.calls.owed) {
-            self.tell_any_caller(conn, message, out);
-        }
-    }
-
-    /// A caller may shut its side and still wait for answers: they go out before the connection is closed.
-    pub(super) fn caller_eof(&mut self, conn: CallerConn, out: &mut Vec<Effect>) {
-        if let Some(open) = self.calls.conns.get_mut(&conn) {
-            *open = false;
-        }
-        self.close_if_done(conn, out);
-    }
-
-    /// A caller may close a connection with no call on it while a release is on its way there: it was lost then,
-    /// and goes out on another connection.
-    fn release_again(&mut self, conn: CallerConn, out: &mut Vec<Effect>) {
-        let since = self.now - CROSSING_MS;
-        let released = std::mem::take(&mut self.calls.released);
-        let (crossed, other): (VecDeque<_>, VecDeque<_>) = released.into_iter().partition(|r| r.1 == conn);
-        self.calls.released = other;
-        for (_, _, call, how) in crossed.into_iter().filter(|r| r.0 >= since) {
-            self.tell_any_caller(conn, ToCaller::Released { call, how }, out);
-        }
-    }
-
-    fn close_if_done(&mut self, conn: CallerConn, out: &mut Vec<Effect>) {
-        let waited_for = self.calls.live.values().any(|c| c.conn == conn && !c.answered);
-        if self.calls.conns.get(&conn) == Some(&false) && !waited_for {
-            out.push(Effect::CloseCaller(conn));
-        }
-    }
-
-    /// Set-ups open on it are given up with it; standing calls belong to no connection.
-    pub(super) fn caller_closed(&mut self, conn: CallerConn, unsent: Vec<ToCaller>, out: &mut Vec<Effect>) {
-        self.calls.conns.remove(&conn);
-        for call in self.calls.ids(|c| c.conn == conn && !c.answered) {
-            self.given_up(call, out);
-        }
-        // A release that this connection could not take any more goes out on another.
-        for message in unsent {
-            if let ToCaller::Released { call, .. } = message {
-                self.calls.released.retain(|r| r.2 != call);
-                self.tell_any_caller(conn, message, out);
-            }
-        }
-        self.release_again(conn, out);
-    }
-
-    /// On the connection of the set-up, else on any; else on the next that opens.
-    fn tell_any_caller(&mut self, conn: CallerConn, message: ToCaller, out: &mut Vec<Effect>) {
-        let conns = &self.calls.conns;
-        let own = conns.get(&conn).filter(|&&open| open).map(|_| conn);
-        let any = || conns.iter().rev().find(|&(_, &open)| open).map(|(&conn, _)| conn);
-        match own.or_else(any) {
-            Some(conn) => {
-                if let ToCaller::Released { call, how } = message {
-                    let since = self.now - CROSSING_MS;
-                    while self.calls.released.front().is_some_and(|r| r.0 < since) {
-                        self.calls.released.pop_front();
-                    }
-                    self.calls.released.push_back((self.now, conn, call, how));
-                }
-                out.push(Effect::ToCaller { conn, message });
-            }
-            None => {
-                self.calls.owed.push_back(message);
-                if self.calls.owed.len() > OWED_MAX {
-                    self.calls.owed.pop_front();
-                }
-            }
-        }
-    }
-
     // ---- what callers say ----
 
-    pub(super) fn hear_caller(
+    /// Takes a set-up, or says why it can't be taken.
+    pub(super) fn set_up(
         &mut self,
         conn: CallerConn,
         read_at: f64,
-        message: FromCaller,
+        set_up: SetUp,
         out: &mut Vec<Effect>,
-    ) {
-        match message {
-            FromCaller::SetUp(set_up) => self.set_up(conn, read_at, set_up, out),
-            FromCaller::Unreadable { call, fault } => {
-                // One of a call that is known would be a second answer to it.
-                if !self.calls.live.contains_key(&call) {
-                    out.push(Effect::ToCaller { conn, message: ToCaller::Unreadable { call, fault } });
-                }
-            }
-            FromCaller::Release(call) => {
-                out.push(Effect::ToCaller { conn, message: ToCaller::Heard(call) });
-                self.released_by_caller(call, out);
-            }
-            FromCaller::Heard(call) => self.calls.released.retain(|r| r.2 != call),
-            FromCaller::Test(call) => {
-                let passed = self.ready();
-                out.push(Effect::ToCaller { conn, message: ToCaller::Tested { call, passed } });
-            }
-        }
-    }
-
-    fn set_up(&mut self, conn: CallerConn, read_at: f64, set_up: SetUp, out: &mut Vec<Effect>) {
+    ) -> Result<(), Fault> {
         let id = set_up.call;
-        if let Some(call) = self.calls.live.get_mut(&id) {
-            // It crossed a connection's close and came again on a new one: the answer goes there.
-            if !call.answered {
-                call.conn = conn;
-            }
-            return;
+        // Every set-up has an id of its own. One that comes under the id of a call, open or over, is none.
+        if self.calls.live.contains_key(&id) || self.calls.ended.all.contains(&id) {
+            return Err(Fault::Invalid);
         }
-        let Some(class) = self.host.classes.iter().position(|name| *name == set_up.class) else {
-            let message = ToCaller::Unreadable { call: id, fault: Fault::Invalid };
-            return out.push(Effect::ToCaller { conn, message });
-        };
+        let class = self.host.classes.iter().position(|c| c.name == set_up.class).ok_or(Fault::Invalid)?;
+        self.in_range(&self.host.classes[class], &set_up)?;
         if !self.takes_calls() || self.calls.in_set_up() >= self.host.open_cap {
-            return out
-                .push(Effect::ToCaller { conn, message: ToCaller::Refused { call: id, stay_away_ms: 0.0 } });
+            let refused = ToCaller::Refused { call: id, stay_away_ms: 0.0 };
+            out.push(Effect::ToCaller { conn, message: refused });
+            return Ok(());
         }
         // The time that it lay unread is part of its caller's wait.
         let deadline = read_at.min(self.now) + set_up.wait_ms;
@@ -262,23 +176,38 @@
             standing: None,
         };
         self.calls.live.insert(id, call);
+        Ok(())
     }
 
-    fn released_by_caller(&mut self, id: CallId, out: &mut Vec<Effect>) {
-        let Some(call) = self.calls.live.get_mut(&id) else {
-            // It stood before this program's start: whichever call server holds it is to hear of it.
-            if !self.calls.ended.contains(&id) {
-                self.release_everywhere(id, out);
-            }
-            return;
-        };
+    /// Figures that no caller in good order sends would only be turned away by a call server, or make it close
+    /// the connection that carries others' calls.
+    fn in_range(&self, class: &ClassRules, set_up: &SetUp) -> Result<(), Fault> {
+        let waits = set_up.wait_ms <= class.deadline_ms * WAIT_SLACK;
+        let place = set_up.first_choice.is_none_or(|place| class.takes(place) || self.fleet.has_place(place));
+        let fits = (1..=class.width).contains(&set_up.width);
+        if waits && place && fits { Ok(()) } else { Err(Fault::Invalid) }
+    }
+
+    /// The set-ups open on this connection are given up.
+    pub(super) fn give_up_on(&mut self, conn: CallerConn, out: &mut Vec<Effect>) {
+        for call in self.calls.ids(|c| c.conn == conn && !c.answered) {
+            self.given_up(call, out);
+        }
+    }
+
+    /// False: no such call is known to have been here. It stood before this program's start then, and whichever
+    /// call server holds it is to hear of it.
+    pub(super) fn released_by_caller(&mut self, conn: CallerConn, id: CallId, out: &mut Vec<Effect>) -> bool {
+        let Some(call) = self.calls.live.get_mut(&id) else { return self.calls.ended.all.contains(&id) };
         if let Some(standing) = call.standing.take() {
             self.calls.forget(id);
             self.release_at(standing.server, Some(standing.conn), id, out);
             self.tell_ended(id, standing.server, Outcome::Cancelled, true, LoadReport::default());
-        } else if !call.answered {
+        } else if !call.answered && call.conn == conn {
+            // A set-up, other than a call that stands, belongs to its connection: nobody else gives it up.
             self.given_up(id, out);
         }
+        true
     }
 
     /// No answer is owed any more.
@@ -498,7 +427,7 @@
     ) {
         let Some(call) = self.calls.live.get_mut(&id) else {
             // A call that stood before this program's start is over: its caller is to hear of it.
-            if !self.calls.ended.contains(&id) && matches!(how, Ending::Normal | Ending::Reset) {
+            if !self.calls.ended.all.contains(&id) && matches!(how, Ending::Normal | Ending::Reset) {
                 let how = if how == Ending::Normal { Release::Completed } else { Release::Cut };
                 self.tell_any_caller(CallerConn(0), ToCaller::Released { call: id, how }, out);
                 out.push(Effect::ToServer { conn, message: ToServer::Heard(id), confirm: false });
--- a/src/engine/fleet.rs
+++ b/src/engine/fleet.rs
@@ -49,16 +49,30 @@
 pub(super) struct Fleet {
     serial: Option<u32>,
     ids: HashMap<String, ServerId>,
+    named: u64,
     servers: BTreeMap<ServerId, Server>,
     by_conn: HashMap<ServerConn, ServerId>,
     dialled: u64,
 }
 
 impl Fleet {
+    /// The number of the call server of this name. Names that are gone are forgotten, their numbers never used
+    /// again: on a long day always new ones come.
+    fn id(&mut self, name: &str) -> ServerId {
+        let next = ServerId(self.named + 1);
+        let id = *self.ids.entry(name.to_owned()).or_insert(next);
+        self.named = self.named.max(id.0);
+        id
+    }
+
     pub fn is_ready(&self, server: ServerId) -> bool {
         self.servers.get(&server).is_some_and(|s| s.listing.state == Listed::Ready)
     }
 
+    pub fn has_place(&self, place: u32) -> bool {
+        self.servers.values().any(|s| s.listing.place == place)
+    }
+
     pub fn all_tried(&self) -> bool {
         self.serial.is_some() && self.servers.values().all(|s| s.tried)
     }
@@ -109,8 +123,7 @@
             self.server_gone(id, out);
         }
         for listing in listings {
-            let next = ServerId(self.fleet.ids.len() as u64 + 1);
-            let id = *self.fleet.ids.entry(listing.name.clone()).or_insert(next);
+            let id = self.fleet.id(&listing.name);
             let (place, state, started_at) = (listing.place, listing.state, listing.started_at);
             entries.push(ServerEntry { id, place, state, started_at });
             self.listed(id, listing, out);
@@ -155,6 +168,7 @@
         self.close_all(id, out);
         self.end_waiting(id, Outcome::NotSent);
         self.fleet.servers.remove(&id);
+        self.fleet.ids.retain(|_, known| *known != id);
     }
 
     // ---- connections ----
@@ -203,11 +217,12 @@
         let alone = s.conns.is_empty();
         log::debug!("connection to {}: {how:?}", s.listing.name);
         match how {
-            // What stood there was cut with the process.
-            Lost::Reset => self.cut(server, f64::INFINITY, out),
-            // Nothing listens: the process is dead. With a connection open it only takes no more of them.
+            // Nothing listens: the process is dead, and what stood there was cut with it. With a connection open
+            // it only takes no more of them.
             Lost::Refused if alone => self.cut(server, f64::INFINITY, out),
-            Lost::Refused | Lost::TimedOut | Lost::Closed => {}
+            // A reset tells of this connection alone: a call server in good health resets it after what it could
+            // not read, and so may the way there. If the process died, the dial that follows is refused.
+            Lost::Refused | Lost::TimedOut | Lost::Reset | Lost::Closed => {}
         }
         let Some(s) = self.fleet.servers.get_mut(&server) else { return };
         if matches!(how, Lost::Refused | Lost::TimedOut) {
--- a/src/engine/messages.rs
+++ b/src/engine/messages.rs
@@ -23,20 +23,24 @@
     pub number: Option<String>,
     /// Place of the call server of first choice.
     pub first_choice: Option<u32>,
+    /// Lines that it takes.
+    pub width: u32,
     pub description: String,
 }
 
-/// Why a set-up can't be read.
+/// Why a message can't be taken up.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fault {
     Missing,
     Invalid,
+    /// It is of no known type.
+    Unknown,
 }
 
 #[derive(Clone, Debug, PartialEq)]
 pub enum FromCaller {
     SetUp(SetUp),
-    /// A set-up of which only the id could be read.
+    /// A message of which only the id could be read.
     Unreadable {
         call: CallId,
         fault: Fault,
@@ -147,7 +151,7 @@
 pub enum Lost {
     /// In order, or in a way that says nothing of the calls.
     Closed,
-    /// Reset: the process died.
+    /// Reset: the process died, or something broke on the way.
     Reset,
     /// Nothing listens there.
     Refused,
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -4,6 +4,7 @@
 //! module decides becomes effects here, and here alone the rules that hold on sockets are guarded: one final
 //! answer, one attempt at a time, nothing new to a call server that drains, the release guard.
 
+mod callers;
 mod calls;
 mod fleet;
 mod messages;
@@ -14,6 +15,7 @@
 use crate::interface::{self as module, Action, CallId, Outcome, ServerId, Settings};
 use crate::policy::Controller;
 use crate::settings::HostSettings;
+use callers::Callers;
 use calls::Calls;
 use fleet::Fleet;
 use std::collections::VecDeque;
@@ -38,6 +40,8 @@
     /// No connection came up for this attempt in time.
     DialOver(CallId, u32),
     Redial(ServerId),
+    /// The caller's connection should have asked something by now.
+    CallerSilent(CallerConn),
     Look,
     /// Set-ups are taken no more.
     Stopped,
@@ -48,6 +52,7 @@
     host: HostSettings,
     guard_ms: f64,
     max_attempts: u32,
+    callers: Callers,
     calls: Calls,
     fleet: Fleet,
     timers: Timers<Due>,
@@ -70,6 +75,7 @@
             max_attempts: settings.max_attempts,
             controller: Controller::new(settings, seed, now),
             host,
+            callers: Callers::default(),
             calls: Calls::default(),
             fleet: Fleet::default(),
             timers,
@@ -158,8 +164,10 @@
             }
             Due::DialOver(call, attempt) => self.dial_over(call, attempt),
             Due::Redial(server) => self.redial(server, out),
+            Due::CallerSilent(conn) => self.caller_silent(conn, out),
             Due::Look => {
                 self.look(out);
+                self.look_at_callers();
                 self.timers.set(self.now + LOOK_MS, Due::Look);
             }
             Due::Stopped => log::info!("set-ups are taken no more"),
@@ -170,7 +178,8 @@
 
     /// Calls carry their class by its place in the settings: that can't change under those that are open.
     fn follow_settings(&mut self, settings: Settings, host: HostSettings) {
-        if host.classes != self.host.classes {
+        let names = |host: &HostSettings| host.classes.iter().map(|c| c.name.clone()).collect::<Vec<_>>();
+        if names(&host) != names(&self.host) {
             return log::error!("other classes need a restart: the settings stay as they were");
         }
         (self.guard_ms, self.max_attempts, self.host) = (settings.guard_ms, settings.max_attempts, host);
--- a/src/net/callers.rs
+++ b/src/net/callers.rs
@@ -1,12 +1,13 @@
 //! Callers: the binary codec and their connections.
 
-use super::{MESSAGE_MAX, WRITE_STALL};
+use super::{HalfMessages, MESSAGE_MAX, WRITE_STALL};
 use crate::engine::{CallerConn, Event, Fault, FromCaller, Release, SetUp, ToCaller};
 use crate::interface::CallId;
 use crate::net::driver::Clock;
 use bytes::{Buf, BufMut, BytesMut};
 use futures_util::{SinkExt, StreamExt};
 use std::io;
+use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
@@ -14,6 +15,7 @@
 
 const SET_UP: u8 = 1;
 const ANSWER: u8 = 9;
+const PROGRESS: u8 = 6;
 const RELEASE: u8 = 12;
 const HEARD: u8 = 16;
 const TEST: u8 = 52;
@@ -33,6 +35,7 @@
 const TEMPORARY_FAILURE: u8 = 41;
 const CONGESTION: u8 = 42;
 const MISSING_ELEMENT: u8 = 96;
+const UNKNOWN_TYPE: u8 = 97;
 const INVALID_ELEMENT: u8 = 100;
 
 /// Type and call id, which the length counts.
@@ -42,6 +45,9 @@
 /// So are other fields that go on.
 const FIELD_MAX: usize = 128;
 
+/// How often half a message is looked for.
+const HALF_LOOK: Duration = Duration::from_millis(900);
+
 /// Frames and reads callers' messages.
 pub struct Codec;
 
@@ -70,7 +76,7 @@
     }
 }
 
-/// Reads a message; those of unknown type, or without meaning here, are passed over.
+/// Reads a message; one that means nothing is passed over.
 fn read(message: &[u8]) -> Option<FromCaller> {
     let (head, parameters) = message.split_at_checked(HEAD)?;
     let call = CallId(u64::from_be_bytes(head[1..].try_into().ok()?));
@@ -82,13 +88,18 @@
         RELEASE => Some(FromCaller::Release(call)),
         HEARD => Some(FromCaller::Heard(call)),
         TEST => Some(FromCaller::Test(call)),
-        _ => None,
+        PROGRESS => None,
+        _ => Some(FromCaller::Unreadable { call, fault: Fault::Unknown }),
     }
 }
 
 fn set_up(call: CallId, mut parameters: &[u8]) -> Result<SetUp, Fault> {
     let (mut class, mut wait, mut description) = (None, None, None);
-    let mut set_up = SetUp { call, ..SetUp::default() };
+    // All calls without an id would be one; a call server closes the connection on it.
+    if call == CallId(0) {
+        return Err(Fault::Missing);
+    }
+    let mut set_up = SetUp { call, width: 1, ..SetUp::default() };
     while !parameters.is_empty() {
         let (code, value, rest) = parameter(parameters).ok_or(Fault::Invalid)?;
         parameters = rest;
@@ -98,8 +109,8 @@
             WAIT => wait = Some(text()?),
             RETRY => set_up.redial = text()? == "1",
             NUMBER => set_up.number = Some(text()?).filter(|n| !n.is_empty()).map(str::to_owned),
-            EXTRAS => set_up.first_choice = first_choice(text()?),
-            DESCRIPTION => description = Some(text()?),
+            EXTRAS => (set_up.first_choice, set_up.width) = extras(text()?).ok_or(Fault::Invalid)?,
+            DESCRIPTION => description = Some(text()?).filter(|d| !d.is_empty()),
             _ => {}
         }
     }
@@ -107,8 +118,11 @@
     set_up.description = description.ok_or(Fault::Missing)?.to_owned();
     let wait: f64 = wait.ok_or(Fault::Missing)?.trim().parse().map_err(|_| Fault::Invalid)?;
     set_up.wait_ms = Some(wait).filter(|w| w.is_finite() && *w >= 0.0).ok_or(Fault::Invalid)?;
-    let number = set_up.number.as_ref().map_or(0, |n| n.len());
-    if json_len(&set_up.description) > DESCRIPTION_JSON_MAX || number.max(set_up.class.len()) > FIELD_MAX {
+    let number = set_up.number.as_deref().unwrap_or("0");
+    if json_len(&set_up.description) > DESCRIPTION_JSON_MAX
+        || number.len().max(set_up.class.len()) > FIELD_MAX
+        || u64::from_str_radix(number, 16).is_err()
+    {
         return Err(Fault::Invalid);
     }
     Ok(set_up)
@@ -121,11 +135,23 @@
     Some((head[0], value, rest))
 }
 
-/// The call server of first choice, out of `dest:2;width:1;via:-1`.
-fn first_choice(extras: &str) -> Option<u32> {
-    let dest = extras.split(';').find_map(|field| field.trim().strip_prefix("dest:"))?;
-    let dest: f64 = dest.parse().ok()?;
-    (dest >= 0.0 && dest <= f64::from(u16::MAX)).then_some(dest as u32)
+/// The call server of first choice, if any, and the lines wanted, out of `dest:2;width:1;via:-1`; none if a
+/// field is no figure, or one of these two no count.
+fn extras(text: &str) -> Option<(Option<u32>, u32)> {
+    let (mut dest, mut width) = (None, 1);
+    for field in text.split(';').map(str::trim).filter(|f| !f.is_empty()) {
+        let (name, figure) = field.split_once(':')?;
+        let figure: f64 = figure.parse().ok()?;
+        let count =
+            (figure.fract() == 0.0 && (0.0..=f64::from(u16::MAX)).contains(&figure)).then_some(figure as u32);
+        match name {
+            "dest" => dest = Some(count?),
+            "width" => width = count?,
+            _ if figure.is_finite() => {}
+            _ => return None,
+        }
+    }
+    Some((dest, width))
 }
 
 /// Bytes that a text takes in JSON.
@@ -162,7 +188,12 @@
                 (RELEASE, call)
             }
             ToCaller::Unreadable { call, fault } => {
-                put(CAUSE, &[if fault == Fault::Missing { MISSING_ELEMENT } else { INVALID_ELEMENT }])?;
+                let cause = match fault {
+                    Fault::Missing => MISSING_ELEMENT,
+                    Fault::Invalid => INVALID_ELEMENT,
+                    Fault::Unknown => UNKNOWN_TYPE,
+                };
+                put(CAUSE, &[cause])?;
                 (RELEASE, call)
             }
             ToCaller::Released { call, how } => {
@@ -198,6 +229,7 @@
     clock: Clock,
 ) {
     let mut framed = Framed::new(stream, Codec);
+    let mut halves = HalfMessages::new(HALF_LOOK);
     let mut reading = true;
     let mut unsent = Vec::new();
     loop {
@@ -214,11 +246,18 @@
                     break;
                 }
             }
+            () = halves.due(), if reading => {
+                if let Err(e) = halves.look(framed.read_buffer()) {
+                    log::debug!("caller {}: {e}", conn.0);
+                    break;
+                }
+            }
             message = framed.next(), if reading => {
+                halves.got_whole();
                 let event = match message {
                     Some(Ok(message)) => Event::Caller { conn, read_at: clock.read_at(), message },
                     Some(Err(e)) => {
-                        log::info!("caller {}: {e}", conn.0);
+                        log::debug!("caller {}: {e}", conn.0);
                         break;
                     }
                     None => {
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -98,11 +98,6 @@
     Ok(())
 }
 
-/// Callers hold a third of the descriptors at most; the rest is for call servers and the program.
-fn callers_max(config: &Config) -> usize {
-    (config.sockets / 2).max(1)
-}
-
 async fn beat(clock: Clock) {
     let mut ticks = interval(PULSE);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -121,6 +116,8 @@
     names: watch::Sender<SocketAddr>,
     callers: HashMap<CallerConn, mpsc::Sender<ToCaller>>,
     callers_max: usize,
+    /// Callers' connections whose task still holds a descriptor.
+    callers_held: usize,
     /// No connection is taken before then.
     accept_from: Instant,
     accepted: u64,
@@ -140,7 +137,8 @@
             events,
             names,
             callers: HashMap::new(),
-            callers_max: callers_max(config),
+            callers_max: config.host.callers_max,
+            callers_held: 0,
             accept_from: Instant::now(),
             accepted: 0,
             servers: HashMap::new(),
@@ -157,19 +155,26 @@
         if new.listen != started.listen {
             log::warn!("listening on {} needs a restart", new.listen);
         }
-        self.callers_max = callers_max(&new);
+        self.callers_max = new.host.callers_max;
         // Also if it is the same address: the socket is a new one then, and asks at once.
         self.names.send_replace(new.names);
         self.step(Event::Settings { settings: new.settings, host: new.host });
     }
 
     fn step(&mut self, event: Event) {
-        let closed = match &event {
-            Event::CallerClosed { conn, .. } => self.callers.remove(conn).is_some(),
-            Event::ServerLost { conn, .. } => self.servers.remove(conn).is_some(),
+        let ended = match &event {
+            Event::CallerClosed { conn, .. } => {
+                self.callers.remove(conn);
+                self.callers_held -= 1;
+                true
+            }
+            Event::ServerLost { conn, .. } => {
+                self.servers.remove(conn);
+                true
+            }
             _ => false,
         };
-        if closed {
+        if ended {
             while self.tasks.try_join_next().is_some() {}
         }
         let mut effects = std::mem::take(&mut self.effects);
@@ -211,9 +216,10 @@
         }
     }
 
-    /// The engine's timers turn the loop often enough for this to be looked at again.
+    /// The engine closes connections beyond the most that it keeps; those on their way out count here too. The
+    /// engine's timers turn the loop often enough for this to be looked at again.
     fn may_accept(&self) -> bool {
-        self.callers.len() < self.callers_max && Instant::now() >= self.accept_from
+        self.callers_held <= self.callers_max && Instant::now() >= self.accept_from
     }
 
     fn accept(&mut self, stream: TcpStream) {
@@ -221,6 +227,7 @@
             log::debug!("a caller's connection: {e}");
         }
         self.accepted += 1;
+        self.callers_held += 1;
         let conn = CallerConn(self.accepted);
         let (queue, messages) = mpsc::channel(WRITE_QUEUE);
         self.callers.insert(conn, queue);
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -1,6 +1,6 @@
 //! Call servers: the JSON-lines codec and the connections to them.
 
-use super::{MESSAGE_MAX, WRITE_STALL};
+use super::{HalfMessages, MESSAGE_MAX, WRITE_STALL};
 use crate::engine::{Ending, Event, FromServer, Lost, ServerConn, ToServer};
 use crate::interface::{CallId, LoadReport};
 use crate::settings;
@@ -22,6 +22,9 @@
 const RESET: u64 = 41;
 const NOT_SENT: u64 = 102;
 
+/// How often half a line is looked for: the calls on that connection wait for answers that will not come.
+const HALF_LOOK: Duration = Duration::from_millis(200);
+
 /// Frames and reads call servers' lines.
 pub struct Codec(LinesCodec);
 
@@ -172,6 +175,7 @@
     events: &mpsc::Sender<Event>,
 ) -> Lost {
     let mut framed = Framed::new(stream, Codec::default());
+    let mut halves = HalfMessages::new(HALF_LOOK);
     loop {
         let result = tokio::select! {
             order = queue.recv() => {
@@ -185,8 +189,10 @@
                     Err(e) => Err(e),
                 }
             }
+            () = halves.due() => halves.look(framed.read_buffer()),
             message = framed.next() => match message {
                 Some(Ok(message)) => {
+                    halves.got_whole();
                     events.send(Event::Server { conn, message }).await.map_err(io::Error::other)
                 }
                 Some(Err(e)) => Err(e),
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -126,26 +126,58 @@
     guard_ms: f64,
     #[serde(default)]
     t1_ms: f64,
+    #[serde(default)]
+    class_width: Vec<u32>,
+    #[serde(default)]
+    pools_by_class: Vec<Vec<u32>>,
 }
 
 /// What the program around the module needs of the settings.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct HostSettings {
-    /// The classes' names, in the order of [`Settings::classes`].
-    pub classes: Vec<String>,
+    /// In the order of [`Settings::classes`].
+    pub classes: Vec<ClassRules>,
     /// A connection not established within this time has failed.
     pub dial_timeout_ms: f64,
     /// Calls in set-up at most; more are turned away unseen.
     pub open_cap: usize,
+    /// Callers' connections at most; the configuration's limits tell it.
+    pub callers_max: usize,
+}
+
+/// What a set-up of a class must keep to.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ClassRules {
+    pub name: String,
+    pub deadline_ms: f64,
+    /// Lines that a call takes.
+    pub width: u32,
+    /// Places of the call servers that may take it; none named: any.
+    places: Vec<u32>,
+}
+
+impl ClassRules {
+    /// Whether a call server at this place may take calls of the class.
+    pub fn takes(&self, place: u32) -> bool {
+        self.places.is_empty() || self.places.contains(&place)
+    }
 }
 
 /// Parses the host's part of the settings.
 pub fn parse_host(text: &[u8]) -> Result<HostSettings, String> {
     let info: Info = serde_json::from_slice(text).map_err(|e| format!("settings: {e}"))?;
+    let specifics = &info.specifics;
+    let class = |(i, s): (usize, Service)| ClassRules {
+        name: s.name,
+        deadline_ms: s.deadline_ms,
+        width: specifics.class_width.get(i).copied().unwrap_or(1),
+        places: specifics.pools_by_class.get(i).cloned().unwrap_or_default(),
+    };
     Ok(HostSettings {
-        classes: info.services.into_iter().map(|s| s.name).collect(),
+        classes: info.services.into_iter().enumerate().map(class).collect(),
         dial_timeout_ms: info.ceilings.dial_timeout_ms,
         open_cap: info.ceilings.open_cap,
+        callers_max: usize::MAX,
     })
 }
 
