Read service times from can_take, and end a call at its second error

(1) policy.rs `service_ms` took half the quickest set-up, 12.9 ms, nearly all of it journey, while the server told can_take 140 to 170 a second (6.6 ms): three set-ups on their way times 12.9 ms times three senders read as a backlog of 77 ms, and refused 46%. (2) errors that bad calls drew (up to six each) made both servers 'silent' after two, so that even dear calls were refused. Ruled out: b (0.00 to 0.10), lines of the large server (129 of 338 free). Short lines of the small one are real. Now: a server's service time is 1 / can_take where told; a call's second error ends it and is not held against the servers, and four failures in a row, not two, make one silent (a reset still does at once).

--- a/src/bin/corkreach-benchlink/host.rs
+++ b/src/bin/corkreach-benchlink/host.rs
@@ -221,6 +221,7 @@
         Column::Utilisation => Some(&mut report.utilisation),
         Column::Wait => Some(&mut report.wait_ms),
         Column::HoldBack => Some(&mut report.hold_back),
+        Column::CanTake => Some(&mut report.can_take),
         Column::Free | Column::Size | Column::Other => None,
     }
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -102,6 +102,8 @@
     pub utilisation: Option<f64>,
     /// Wait at the processor.
     pub wait_ms: Option<f64>,
+    /// New set-ups a second that it can take from all senders.
+    pub can_take: Option<f64>,
     /// Share of new set-ups it asks each sender to hold back.
     pub hold_back: Option<f64>,
 }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -18,14 +18,17 @@
 const REPORT_AGE_MS: f64 = 300.0;
 /// b halves for each such time without a fresh report, ms: what is known grows old.
 const HALVING_MS: f64 = 1000.0;
+/// No service time is taken as longer, ms: a stalled server can take next to nothing.
+const SERVICE_MAX_MS: f64 = 200.0;
 /// Service time before any set-up was seen to pass, ms: only until the first answer.
 const FIRST_SERVICE_MS: f64 = 20.0;
 /// Part of the quickest set-up's time taken as service: the rest is the way and the answer's work.
 const SERVICE_PART: f64 = 0.5;
 /// A server that answered nothing for so long while a set-up waited is silent, ms; a slow one answers sooner.
 const SILENT_MS: f64 = 1500.0;
-/// Set-ups failed in a row that make a server as good as silent; one cut or unconnected is enough.
-const MANY_FAILURES: u32 = 2;
+/// Set-ups failed in a row, for all that is known by the server's fault, that make it as good as silent; one cut
+/// or unconnected is enough.
+const MANY_FAILURES: u32 = 4;
 /// A silent server gets this part of the usual rate, to find the way back: it may be no more than jammed.
 const TRIAL_PART: f64 = 0.1;
 /// Lots are drawn anew after so many windows: at each drawing two sets of senders may have sent.
@@ -103,6 +106,8 @@
     /// The last reading of the wait in its line, and when.
     wait_ms: f64,
     wait_at: f64,
+    /// What a set-up costs its processor, as reported, ms.
+    service_ms: Option<f64>,
     /// The last report, to tell a fresh one from a repeat, and when this sender or a sibling told of one.
     last_report: LoadReport,
     told_at: f64,
@@ -140,6 +145,7 @@
             set_at: now,
             wait_ms: 0.0,
             wait_at: now,
+            service_ms: None,
             last_report: LoadReport::default(),
             told_at: f64::NEG_INFINITY,
             full_counted_at: f64::NEG_INFINITY,
@@ -276,6 +282,8 @@
     /// It may be held until then.
     hold_until: f64,
     attempts: u32,
+    /// The server that answered it with an error.
+    faulted: Option<ServerId>,
     /// The attempt out, if any.
     out: Option<Attempt>,
     /// Guard after a timeout, reset or cancellation.
@@ -352,7 +360,7 @@
             Event::Standing { call, server, after_ms } => self.stands(now, call, server, after_ms),
             Event::Ended { call, server, outcome, closed, report } => {
                 self.heard_outcome(now, call, server, outcome, &report, out);
-                self.ended(now, call, outcome, closed, out);
+                self.ended(now, call, server, outcome, closed, out);
             }
             Event::Lines { server, report } => self.read_lines(server, &report),
             Event::Probed { server, outcome, report } => self.probed(now, server, outcome, &report, out),
@@ -402,9 +410,11 @@
 
     // ---- reports and b ----
 
-    fn service_ms(&self) -> f64 {
+    /// What a set-up takes of this server's processor: by what it says that it can take, else by the quickest.
+    fn service_ms(&self, s: &Server) -> f64 {
         let learned = self.quickest_ms * SERVICE_PART;
-        if learned.is_finite() && learned > 0.0 { learned } else { FIRST_SERVICE_MS }
+        let learned = if learned.is_finite() && learned > 0.0 { learned } else { FIRST_SERVICE_MS };
+        s.service_ms.unwrap_or(learned)
     }
 
     fn read_lines(&mut self, server: ServerId, report: &LoadReport) {
@@ -418,19 +428,22 @@
 
     /// Sets b once for each fresh report; a repeat or an absent one says nothing.
     fn read_report(&mut self, now: f64, server: ServerId, report: &LoadReport) -> bool {
-        let service = self.service_ms();
+        let Some(service) = self.servers.get(&server).map(|s| self.service_ms(s)) else { return false };
         let Some(s) = self.servers.get_mut(&server) else { return false };
         let report = LoadReport {
             queue: sane(report.queue),
             utilisation: sane(report.utilisation),
             wait_ms: sane(report.wait_ms),
             hold_back: sane(report.hold_back),
+            can_take: sane(report.can_take),
             ..LoadReport::default()
         };
         if report == LoadReport::default() || report == s.last_report {
             return false;
         }
         s.last_report = report;
+        let told = report.can_take.filter(|&n| n > 0.0).map(|n| (1000.0 / n).min(SERVICE_MAX_MS));
+        s.service_ms = told.or(s.service_ms);
         let wait = report.wait_ms.or(report.queue.map(|q| q * service));
         if let Some(wait) = wait {
             // What was sent before the reported line, and its answer's turn in it, has passed or is lost.
@@ -526,12 +539,12 @@
         out: &mut Vec<Action>,
     ) {
         let setting_up = self.calls.get(&call).is_some_and(|live| live.out.is_some());
+        let first = self.calls.get(&call).is_some_and(|live| live.faulted.is_none());
         let Some(s) = self.servers.get_mut(&id) else { return };
         s.forget(now, call, matches!(outcome, Outcome::TimedOut | Outcome::Cancelled));
         match outcome {
-            Outcome::NotConnected | Outcome::Reset | Outcome::Fault if setting_up => {
-                s.failures += if outcome == Outcome::Fault { 1 } else { MANY_FAILURES };
-            }
+            Outcome::NotConnected | Outcome::Reset if setting_up => s.failures += MANY_FAILURES,
+            Outcome::Fault if setting_up && first => s.failures += 1,
             Outcome::Completed => s.heard(now),
             Outcome::NoLine => {
                 s.heard(now);
@@ -624,7 +637,7 @@
         let most = self.useful_wait_ms();
         let easy = EASY_PART * most;
         let quickest = if self.quickest_ms.is_finite() { self.quickest_ms } else { FIRST_SERVICE_MS };
-        let each = self.service_ms() * self.siblings();
+        let each = self.service_ms(s) * self.siblings();
         let room = ((most - s.backlog_ms(now, quickest, each)) / (most - easy)).clamp(0.0, 1.0);
         (1.0 - (1.0 - s.b(now)) * room).max(1.0 - self.warmth(now, s)).max(self.short_of_lines(s))
     }
@@ -678,7 +691,11 @@
     /// Where every b refuses the plain draw, a call whose rank still lets it in takes the one that refuses
     /// least: the rank decides who is refused, not where a call goes, or dear calls would pile on one line.
     fn choose(&self, now: f64, live: &Live) -> Option<ServerId> {
-        let open = self.servers.iter().filter(|&(&id, s)| self.open(now, id, s));
+        // Where a call got an error it goes only if there is nowhere else.
+        let open = |id: ServerId, s: &Server| self.open(now, id, s);
+        let other = |id: ServerId| live.faulted != Some(id);
+        let elsewhere = self.servers.iter().any(|(&id, s)| other(id) && open(id, s));
+        let open = self.servers.iter().filter(|&(&id, s)| open(id, s) && (other(id) || !elsewhere));
         let allowed = open.map(|(&id, s)| (id, s, self.refused_share(now, s))).filter(|a| a.2 <= live.rank);
         // Between equals each call draws lots by size: the lowest id would be every sender's choice.
         let lot = |id: ServerId, s: &Server| -(1.0 - lot(live.draw.to_bits(), id)).ln() / s.size;
@@ -721,6 +738,7 @@
             deadline,
             hold_until,
             attempts: 0,
+            faulted: None,
             out: None,
             not_before: now,
         };
@@ -774,9 +792,9 @@
     fn stay_away_ms(&self, now: f64, live: &Live) -> f64 {
         let most = self.settings.stay_away_max_ms.max(0.0);
         let quickest = if self.quickest_ms.is_finite() { self.quickest_ms } else { FIRST_SERVICE_MS };
-        let each = self.service_ms() * self.siblings();
+        let each = |s: &Server| self.service_ms(s) * self.siblings();
         let ready = self.servers.values().filter(|s| s.state == Listed::Ready && !s.silent(now));
-        let opens = |s: &Server| (s.full_until - now).max(s.backlog_ms(now, quickest, each)).max(0.0);
+        let opens = |s: &Server| (s.full_until - now).max(s.backlog_ms(now, quickest, each(s))).max(0.0);
         let soonest = ready.map(opens).fold(f64::INFINITY, f64::min).max(FULL_ONCE_MS);
         let left = live.first_dialled + self.class_of(&live.call).target_ms - now;
         if soonest < left { soonest.min(most) } else { most }
@@ -894,13 +912,31 @@
         self.count_stood(now, server);
     }
 
-    fn ended(&mut self, now: f64, id: CallId, outcome: Outcome, closed: bool, out: &mut Vec<Action>) {
+    fn ended(
+        &mut self,
+        now: f64,
+        id: CallId,
+        server: ServerId,
+        outcome: Outcome,
+        closed: bool,
+        out: &mut Vec<Action>,
+    ) {
         let Some(live) = self.calls.get_mut(&id) else { return };
         if closed {
             self.calls.remove(&id);
             return;
         }
         live.out = None;
+        if outcome == Outcome::Fault {
+            // An error may be the server's or the call's. The second one is taken as the call's: it goes nowhere
+            // else, and the first server is held to have answered.
+            if let Some(first) = live.faulted.replace(server) {
+                if let Some(s) = self.servers.get_mut(&first) {
+                    s.failures = s.failures.saturating_sub(1);
+                }
+                return self.end(id, Action::Fail(id), out);
+            }
+        }
         if matches!(outcome, Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled) {
             live.not_before = now + self.settings.guard_ms.max(0.0);
         }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -14,6 +14,7 @@
     Utilisation,
     Wait,
     HoldBack,
+    CanTake,
     Other,
 }
 
@@ -26,6 +27,7 @@
         "util" => Column::Utilisation,
         "latency_ms" => Column::Wait,
         "hold_back" | "eps" => Column::HoldBack,
+        "can_take" | "qps" => Column::CanTake,
         _ => Column::Other,
     }
 }
@@ -41,6 +43,7 @@
             Column::Utilisation => report.utilisation = value,
             Column::Wait => report.wait_ms = value,
             Column::HoldBack => report.hold_back = value,
+            Column::CanTake => report.can_take = value,
             Column::Other => {}
         }
     }
--- a/tests/controller.rs
+++ b/tests/controller.rs
@@ -452,6 +452,42 @@
     }
 }
 
+/// Errors of one call say more of the call than of the servers: bad calls must not close the servers to good ones.
+#[test]
+fn a_second_error_ends_the_call_and_clears_its_first_server() {
+    let mut rig = Rig::new(settings(), 2);
+    for _ in 0..10 {
+        let id = rig.call();
+        assert_eq!(rig.sends(), [0]);
+        rig.ended(id, 0, Outcome::Fault);
+        assert_eq!(rig.sends(), [1], "the first error may be the server's");
+        rig.ended(id, 1, Outcome::Fault);
+        assert_eq!(rig.done, [Action::Fail(id)]);
+        rig.done.clear();
+    }
+    for _ in 0..4 {
+        let id = rig.call();
+        rig.ended(id, 0, Outcome::Fault);
+        rig.stands(id, 1, 40.0);
+    }
+    rig.done.clear();
+    rig.call();
+    assert_eq!(rig.sends(), [1], "so many errors in a row that others do not see are the server's");
+}
+
+/// Set-ups on their way are no queue at a server that says it takes them quickly.
+#[test]
+fn a_server_that_takes_many_is_not_closed_by_those_on_their_way() {
+    let mut rig = Rig::new(settings(), 1);
+    let take = |n| LoadReport { wait_ms: Some(1.0), can_take: Some(n), ..LoadReport::default() };
+    rig.report(0, take(400.0));
+    let calls: Vec<CallId> = (0..4).map(|_| rig.call()).collect();
+    assert_eq!(rig.sends().len(), calls.len());
+    assert_eq!(rig.refused_share(1000), 0.0);
+    rig.report(0, take(10.0));
+    assert!(rig.refused_share(1000) > 0.5, "there four are a long wait");
+}
+
 #[test]
 fn a_failed_probe_is_a_full_line() {
     let mut rig = Rig::new(settings(), 2);
@@ -511,6 +547,7 @@
             utilisation: rng.bool().then(|| pick(&mut rng)),
             wait_ms: Some(pick(&mut rng)),
             hold_back: rng.bool().then(|| pick(&mut rng)),
+            can_take: rng.bool().then(|| pick(&mut rng)),
         };
         match rng.u8(..9) {
             0 => {
