Open another connection when one to a call server falls mute

Now: a connection on which a set-up waits and nothing was heard for 300 ms is doubted and another opened; once others overtake it, it is closed. Ruled out: half lines (found within 0.4 s already).

--- a/src/engine/calls.rs
+++ b/src/engine/calls.rs
@@ -120,6 +120,12 @@
         })
     }
 
+    /// When the oldest set-up that is out on this connection was sent.
+    pub fn oldest_on(&self, conn: ServerConn) -> Option<f64> {
+        let out = self.live.values().filter_map(|c| c.attempt.as_ref());
+        out.filter(|a| a.stage == Stage::Out(conn)).map(|a| a.sent_at).reduce(f64::min)
+    }
+
     /// The one place where a call is given back.
     fn forget(&mut self, call: CallId) {
         if self.live.remove(&call).is_some() {
@@ -412,6 +418,7 @@
         let caller = call.conn;
         out.push(Effect::ToCaller { conn: caller, message: ToCaller::Answer { call: id, description } });
         let after_ms = self.now - attempt.sent_at;
+        self.passed_on(server, conn, attempt.sent_at);
         self.news.push_back(module::Event::Standing { call: id, server, after_ms });
         self.close_if_done(caller, out);
     }
@@ -447,6 +454,8 @@
                 Ending::Reset => Outcome::Reset,
                 Ending::Error | Ending::Normal => Outcome::Fault,
             };
+            let sent_at = call.attempt.as_ref().map_or(f64::NEG_INFINITY, |a| a.sent_at);
+            self.passed_on(server, conn, sent_at);
             self.end_attempt(id, outcome, report);
         }
     }
--- a/src/engine/fleet.rs
+++ b/src/engine/fleet.rs
@@ -20,6 +20,11 @@
 const CUT_MS: f64 = 7000.0;
 /// A call server tells its state at once on a new connection; after this one is as good as not come up, ms.
 const MUTE_MS: f64 = 750.0;
+/// A connection on which a set-up waits and nothing was heard for so long is doubted, ms: another is opened.
+const DOUBT_MS: f64 = 300.0;
+/// If set-ups sent so much later elsewhere at that call server are answered, the doubted one is of no use, ms: its
+/// line is first come, first served, and journeys differ by less.
+const OVERTAKEN_MS: f64 = 300.0;
 /// Releases kept for a call server that has no connection open.
 const OWED_MAX: usize = 4096;
 
@@ -30,6 +35,8 @@
     /// Whether anything was heard on it yet, and when that was or, before, when it opened.
     heard: bool,
     heard_at: f64,
+    /// When the latest of the set-ups that were answered on it had been sent.
+    passed: f64,
 }
 
 struct Server {
@@ -188,7 +195,8 @@
         };
         self.fleet.dialled += 1;
         let conn = ServerConn(self.fleet.dialled);
-        s.conns.push(Conn { id: conn, open: false, opened_at: self.now, heard: false, heard_at: self.now });
+        let (now, passed) = (self.now, f64::NEG_INFINITY);
+        s.conns.push(Conn { id: conn, open: false, opened_at: now, heard: false, heard_at: now, passed });
         self.fleet.by_conn.insert(conn, server);
         out.push(Effect::Dial { conn, addr: s.listing.addr, timeout_ms: self.host.dial_timeout_ms });
     }
@@ -314,14 +322,40 @@
         }
     }
 
+    /// A set-up was answered on this connection.
+    pub(super) fn passed_on(&mut self, server: ServerId, conn: ServerConn, sent_at: f64) {
+        let conns = self.fleet.servers.get_mut(&server).into_iter().flat_map(|s| &mut s.conns);
+        conns.filter(|c| c.id == conn).for_each(|c| c.passed = c.passed.max(sent_at));
+    }
+
     // ---- liveness ----
 
     pub(super) fn look(&mut self, out: &mut Vec<Effect>) {
         for server in self.fleet.servers.keys().copied().collect::<Vec<_>>() {
+            self.look_at_stuck(server, out);
             self.look_at(server, out);
         }
     }
 
+    /// After an answer that never came, or came spoilt without showing it, a connection stays open and carries
+    /// nothing more. Silence alone may be a long line; that others overtake it is none.
+    fn look_at_stuck(&mut self, server: ServerId, out: &mut Vec<Effect>) {
+        let Some(s) = self.fleet.servers.get(&server) else { return };
+        let doubted = s.conns.iter().filter(|c| c.open && self.now - c.heard_at >= DOUBT_MS);
+        let waits = doubted.filter_map(|c| Some((c, self.calls.oldest_on(c.id)?)));
+        let waits: Vec<_> = waits.filter(|&(_, sent_at)| self.now - sent_at >= DOUBT_MS).collect();
+        let stuck = waits.iter().find(|&&(c, sent_at)| {
+            s.conns.iter().any(|other| other.id != c.id && other.passed >= sent_at + OVERTAKEN_MS)
+        });
+        let another = s.dialling() || s.conns.iter().any(|c| c.open && self.now - c.heard_at < DOUBT_MS);
+        if let Some(conn) = stuck.map(|(c, _)| c.id) {
+            log::info!("connection {} to {} carries nothing more", conn.0, s.listing.name);
+            self.close(conn, out);
+        } else if !waits.is_empty() && !another && s.conns.len() < CONNS_MAX - 1 {
+            self.dial(server, out);
+        }
+    }
+
     /// A machine that vanished says nothing and keeps its connections open: it shows only in that no new one
     /// comes up. One that lives tells its state first of all on a new one.
     fn look_at(&mut self, server: ServerId, out: &mut Vec<Effect>) {
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -110,6 +110,25 @@
     }
 }
 
+/// A connection falls mute after an answer that never came, though its call server lives: another is opened, carries
+/// what comes, and soon also what waited in vain.
+#[test]
+fn a_mute_connection_holds_no_calls() {
+    let (a, _b, _program, _names, mut la, _lb, mut caller) = two();
+    let since = Instant::now();
+    caller.set_up(7, 0, 9000);
+    la.expect("new", 7);
+    let mut next = a.accept();
+    caller.set_up(8, 0, 9000);
+    next.expect("new", 8);
+    next.up(8);
+    caller.expect(9, 8, None);
+    next.expect("new", 7);
+    next.up(7);
+    caller.expect(9, 7, None);
+    assert!(since.elapsed() < Duration::from_millis(1400), "{:?}", since.elapsed());
+}
+
 /// A dead process resets its connections and refuses new ones: its calls are cut, and their callers are told
 /// on any connection they have; a new set-up is tried elsewhere.
 #[test]
