Close mute connections and replace lost ones, so that lost releases come again

The trace shows states told on all open connections of a call server at the same instant, and connections spoilt while another was open. Such a one was not replaced (fleet.rs server_lost dialled only with none left), and one that fell mute with only standing calls on it was never closed, so a release said there was lost for good: the protocol says it again only on the next connection that opens. Now: a lost connection is replaced also if others are open; one that misses a round of states is closed and replaced.

--- a/src/engine/fleet.rs
+++ b/src/engine/fleet.rs
@@ -25,6 +25,8 @@
 /// If set-ups sent so much later elsewhere at that call server are answered, the doubted one is of no use, ms: its
 /// line is first come, first served, and journeys differ by less.
 const OVERTAKEN_MS: f64 = 300.0;
+/// A state is told on all open connections at once: one that lags so far behind has missed it, ms.
+const TOLD_TOGETHER_MS: f64 = 100.0;
 /// Releases kept for a call server that has no connection open.
 const OWED_MAX: usize = 4096;
 
@@ -37,6 +39,8 @@
     heard_at: f64,
     /// When the latest of the set-ups that were answered on it had been sent.
     passed: f64,
+    /// When a state was last told on it.
+    told_at: f64,
 }
 
 struct Server {
@@ -196,7 +200,16 @@
         self.fleet.dialled += 1;
         let conn = ServerConn(self.fleet.dialled);
         let (now, passed) = (self.now, f64::NEG_INFINITY);
-        s.conns.push(Conn { id: conn, open: false, opened_at: now, heard: false, heard_at: now, passed });
+        let new = Conn {
+            id: conn,
+            open: false,
+            opened_at: now,
+            heard: false,
+            heard_at: now,
+            passed,
+            told_at: passed,
+        };
+        s.conns.push(new);
         self.fleet.by_conn.insert(conn, server);
         out.push(Effect::Dial { conn, addr: s.listing.addr, timeout_ms: self.host.dial_timeout_ms });
     }
@@ -239,8 +252,9 @@
                 self.end_waiting(server, Outcome::NotConnected);
                 self.timers.set(self.now + REDIAL_MS, Due::Redial(server));
             }
-        } else if alone && lived_ms >= REDIAL_MS {
-            // What ended meanwhile is told on the next connection; refused, it shows that the process died.
+        } else if lived_ms >= REDIAL_MS {
+            // What ended meanwhile, and what was told on the lost connection and never heard, is told on the next
+            // connection, also if others are open; refused, it shows that the process died.
             self.dial(server, out);
         } else if alone {
             // One that closes every connection at once is not to be dialled in a tight loop.
@@ -290,7 +304,10 @@
                 self.answered_by(server, conn, call, description, out)
             }
             FromServer::Ended { call, how, report } => self.ended_by(server, conn, call, how, report, out),
-            FromServer::State(report) => self.news.push_back(module::Event::Lines { server, report }),
+            FromServer::State(report) => {
+                self.news.push_back(module::Event::Lines { server, report });
+                self.close_mute(server, conn, out);
+            }
             FromServer::Sign => {}
         }
     }
@@ -337,6 +354,20 @@
         }
     }
 
+    /// Closes connections that missed what this one was told a round ago: whatever is said there is lost. What was
+    /// said already, such as releases of standing calls, comes again on the next connection: so one is opened.
+    fn close_mute(&mut self, server: ServerId, conn: ServerConn, out: &mut Vec<Effect>) {
+        let Some(s) = self.fleet.servers.get_mut(&server) else { return };
+        let Some(c) = s.conns.iter_mut().find(|c| c.id == conn) else { return };
+        let told = std::mem::replace(&mut c.told_at, self.now) - TOLD_TOGETHER_MS;
+        let mute = |c: &&Conn| c.open && c.id != conn && c.opened_at < told && c.heard_at < told;
+        for mute in s.conns.iter().filter(mute).map(|c| c.id).collect::<Vec<_>>() {
+            log::info!("connection {} to {} has fallen mute", mute.0, self.fleet.name(server));
+            self.close(mute, out);
+            self.dial(server, out);
+        }
+    }
+
     /// After an answer that never came, or came spoilt without showing it, a connection stays open and carries
     /// nothing more. Silence alone may be a long line; that others overtake it is none.
     fn look_at_stuck(&mut self, server: ServerId, out: &mut Vec<Effect>) {
@@ -351,6 +382,7 @@
         if let Some(conn) = stuck.map(|(c, _)| c.id) {
             log::info!("connection {} to {} carries nothing more", conn.0, s.listing.name);
             self.close(conn, out);
+            self.dial(server, out);
         } else if !waits.is_empty() && !another && s.conns.len() < CONNS_MAX - 1 {
             self.dial(server, out);
         }
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -127,6 +127,27 @@
     next.up(7);
     caller.expect(9, 7, None);
     assert!(since.elapsed() < Duration::from_millis(1400), "{:?}", since.elapsed());
+    // States are told on all connections at once: one that missed the last of them is closed, and what was lost
+    // there comes on the next.
+    while la.is_open() {
+        next.gauge();
+        std::thread::sleep(Duration::from_millis(150));
+    }
+    let mut third = a.accept();
+    third.down(7, 16, json!({}));
+    caller.expect(12, 7, Some(16));
+}
+
+/// A connection is lost while another is open: what was said on it may be lost too, and comes on the next.
+#[test]
+fn a_lost_connection_is_replaced_though_another_is_open() {
+    let (a, _b, _program, _names, mut la, _lb, mut caller) = two();
+    stand(&mut caller, &mut la, 7);
+    let _look = a.accept();
+    la.say_raw("{\"t\":\"down\",\"re");
+    let mut third = a.accept();
+    third.down(7, 16, json!({}));
+    caller.expect(12, 7, Some(16));
 }
 
 /// A dead process resets its connections and refuses new ones: its calls are cut, and their callers are told
--- a/tests/process/rig.rs
+++ b/tests/process/rig.rs
@@ -144,8 +144,15 @@
 
     /// The next connection, before its first word.
     pub fn accept_mute(&self) -> Link {
-        let (stream, _) = self.listener.accept().unwrap();
-        Link::new(stream)
+        self.listener.set_nonblocking(true).unwrap();
+        let since = Instant::now();
+        loop {
+            match self.listener.accept() {
+                Ok((stream, _)) => return Link::new(stream),
+                Err(_) => assert!(since.elapsed() < PATIENCE, "the program does not connect"),
+            }
+            std::thread::sleep(Duration::from_millis(2));
+        }
     }
 
     pub fn accept(&self) -> Link {
@@ -162,6 +169,7 @@
 
 impl Link {
     fn new(stream: TcpStream) -> Link {
+        stream.set_nonblocking(false).unwrap();
         stream.set_read_timeout(Some(PATIENCE)).unwrap();
         Link { lines: BufReader::new(stream) }
     }
@@ -195,6 +203,21 @@
         }
     }
 
+    /// Whether the connection is open still; what comes on it is dropped.
+    pub fn is_open(&mut self) -> bool {
+        self.lines.get_ref().set_nonblocking(true).unwrap();
+        let mut line = String::new();
+        let open = loop {
+            match self.lines.read_line(&mut line) {
+                Ok(0) => break false,
+                Ok(_) => {}
+                Err(e) => break e.kind() == std::io::ErrorKind::WouldBlock,
+            }
+        };
+        self.lines.get_ref().set_nonblocking(false).unwrap();
+        open
+    }
+
     /// Waits until something has come, and leaves it unread.
     pub fn peek(&mut self) {
         assert!(self.lines.get_ref().peek(&mut [0]).unwrap() > 0);
