Let an answer that went astray close no server to others

Its answer was spoilt; policy.rs backlog_ms took its age for the line, and lost() needs a set-up sent 300 ms later to be answered: with all refused none was sent, until the call was called off after 1.5 s. Now its age counts only while no set-up sent 50 ms or more after it was answered.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -64,6 +64,8 @@
 const HANDED_SPAN_MS: f64 = 5000.0;
 /// Set-ups to one server may pass each other by this much, ms: journeys differ, lines do not.
 const ORDER_MS: f64 = 300.0;
+/// By so much they do when nothing is amiss, ms.
+const PASSING_MS: f64 = 50.0;
 /// No reading of a wait is taken as longer, ms: a stalled server may report any figure.
 const WAIT_MAX_MS: f64 = 5000.0;
 /// Numbers remembered at most: far more than are redialled at once; beyond it all are forgotten.
@@ -187,7 +189,10 @@
     /// most so much was worked off; or what the oldest unanswered set-up has waited already; or the work that
     /// the unanswered ones are, `each` ms.
     fn backlog_ms(&self, now: f64, quickest: f64, each: f64) -> f64 {
-        let oldest = self.waiting().next().map_or(0.0, |&(_, sent)| now - sent - quickest);
+        // One whose successor was answered waits for an answer that went astray, not in the line. To call it lost
+        // takes more, but it must not close the server: with nothing sent on, no more would ever pass it.
+        let mut in_line = self.waiting().filter(|&&(_, sent)| sent >= self.passed - PASSING_MS);
+        let oldest = in_line.next().map_or(0.0, |&(_, sent)| now - sent - quickest);
         self.left_of_read(now).max(oldest).max((self.waiting().count() as f64 - 1.0) * each).max(0.0)
     }
 
--- a/tests/controller.rs
+++ b/tests/controller.rs
@@ -488,6 +488,21 @@
     assert!(rig.refused_share(1000) > 0.5, "there four are a long wait");
 }
 
+/// An answer that goes astray is no line: those behind it were answered. It must not close its server, as nothing
+/// would be sent then to show that it was lost.
+#[test]
+fn a_set_up_overtaken_by_its_successor_closes_nothing() {
+    let mut rig = Rig::new(settings(), 1);
+    rig.call();
+    rig.run_until(60.0);
+    let next = rig.call();
+    rig.stands(next, 0, 40.0);
+    rig.run_until(900.0);
+    rig.done.clear();
+    rig.call();
+    assert_eq!(rig.sends(), [0]);
+}
+
 #[test]
 fn a_failed_probe_is_a_full_line() {
     let mut rig = Rig::new(settings(), 2);
