--- a/src/policy.rs
+++ b/src/policy.rs
@@ -26,8 +26,8 @@
 const SERVICE_PART: f64 = 0.5;
 /// A server that answered nothing for so long while a set-up waited is silent, ms; a slow one answers sooner.
 const SILENT_MS: f64 = 1500.0;
-/// Set-ups failed in a row, for all that is known by the server's fault, that make it as good as silent; one cut
-/// or unconnected is enough.
+/// Set-ups failed in a row, by the server's fault for all that is known, that make it as good as silent;
+/// one cut or unconnected is enough.
 const MANY_FAILURES: u32 = 4;
 /// A silent server gets this part of the usual rate, to find the way back: it may be no more than jammed.
 const TRIAL_PART: f64 = 0.1;
@@ -189,8 +189,8 @@
     /// most so much was worked off; or what the oldest unanswered set-up has waited already; or the work that
     /// the unanswered ones are, `each` ms.
     fn backlog_ms(&self, now: f64, quickest: f64, each: f64) -> f64 {
-        // One whose successor was answered waits for an answer that went astray, not in the line. To call it lost
-        // takes more, but it must not close the server: with nothing sent on, no more would ever pass it.
+        // One whose successor was answered waits for an answer that went astray, not in the line. To call it
+        // lost takes more, but it must not close the server: with nothing sent, none would ever pass it.
         let mut in_line = self.waiting().filter(|&&(_, sent)| sent >= self.passed - PASSING_MS);
         let oldest = in_line.next().map_or(0.0, |&(_, sent)| now - sent - quickest);
         self.left_of_read(now).max(oldest).max((self.waiting().count() as f64 - 1.0) * each).max(0.0)
@@ -402,6 +402,8 @@
                 (s.place, s.state) = (entry.place, entry.state);
             }
         }
+        // On a long day servers come and go: one that is gone is kept only for its unanswered set-ups.
+        self.servers.retain(|_, s| s.state != Listed::Gone || !s.unanswered.is_empty());
         self.sum_sizes();
     }
 
@@ -415,7 +417,7 @@
 
     // ---- reports and b ----
 
-    /// What a set-up takes of this server's processor: by what it says that it can take, else by the quickest.
+    /// What a set-up takes of this server's processor: by what it says it can take, else by the quickest.
     fn service_ms(&self, s: &Server) -> f64 {
         let learned = self.quickest_ms * SERVICE_PART;
         let learned = if learned.is_finite() && learned > 0.0 { learned } else { FIRST_SERVICE_MS };
@@ -933,8 +935,8 @@
         }
         live.out = None;
         if outcome == Outcome::Fault {
-            // An error may be the server's or the call's. The second one is taken as the call's: it goes nowhere
-            // else, and the first server is held to have answered.
+            // An error may be the server's or the call's. The second one is taken as the call's: it goes
+            // nowhere else, and the first server is held to have answered.
             if let Some(first) = live.faulted.replace(server) {
                 if let Some(s) = self.servers.get_mut(&first) {
                     s.failures = s.failures.saturating_sub(1);
--- a/tests/controller.rs
+++ b/tests/controller.rs
@@ -190,6 +190,16 @@
     assert_eq!(rig.refused_share(200), 0.0, "no load: nothing is refused");
 }
 
+/// Nothing is kept of a server that is gone: on a long day they come and go under ever new ids.
+#[test]
+fn a_server_that_is_gone_is_forgotten() {
+    let mut rig = Rig::new(settings(), 1);
+    rig.report(0, hold_back(0.6));
+    rig.give(Event::Servers { complete: true, entries: vec![] });
+    rig.give(Event::Servers { complete: true, entries: vec![entry(0, Listed::Ready, None)] });
+    assert_eq!(rig.refused_share(200), 0.0);
+}
+
 #[test]
 fn two_fulls_within_200_ms_count_once() {
     let mut rig = Rig::new(Settings { max_attempts: 1, ..settings() }, 1);
