Serve operators, drain on their word, and hand over to a successor at the same address

On upgrade the second process ended with 1, as the address was in use; on drain the program still said ready 4 s after the call, since nothing listened for it.

Design: operators' HTTP calls (httparse under Framed) become events for the reducer, which owns the drain and the figures. Two processes share the callers' address by SO_REUSEPORT; a file lock in $TMPDIR tells a stopping one of its successor. Roads not taken: handing the socket over a Unix socket (needs a protocol between versions), a process number in a file (outlives a crash).

The lost release is not found yet. The module's only change is a question (`avoids`).

--- a/src/config.rs
+++ b/src/config.rs
@@ -14,6 +14,8 @@
 pub struct Config {
     pub name: String,
     pub listen: SocketAddr,
+    /// Where operators connect.
+    pub management: Option<SocketAddr>,
     pub seed: u64,
     pub names: SocketAddr,
     /// The last event of the name service at the start, and the list as it was then.
@@ -30,6 +32,8 @@
     name: String,
     listen: Option<SocketAddr>,
     #[serde(default)]
+    management: Option<SocketAddr>,
+    #[serde(default)]
     seed: String,
     #[serde(default)]
     limits: Limits,
@@ -81,11 +85,12 @@
     started_ms: f64,
 }
 
-/// Where the configuration comes from; `listen` and `name` stand in for what the file says.
+/// Where the configuration comes from; `listen`, `management` and `name` stand in for what the file says.
 #[derive(Clone, Debug)]
 pub struct Source {
     pub path: PathBuf,
     pub listen: Option<SocketAddr>,
+    pub management: Option<SocketAddr>,
     pub name: Option<String>,
 }
 
@@ -94,17 +99,18 @@
     pub fn read(&self) -> Result<Config, String> {
         let told = |e: String| format!("{}: {e}", self.path.display());
         let text = std::fs::read(&self.path).map_err(|e| told(e.to_string()))?;
-        parse(&text, self.listen, self.name.clone()).map_err(told)
+        parse(&text, self).map_err(told)
     }
 }
 
-fn parse(text: &[u8], listen: Option<SocketAddr>, name: Option<String>) -> Result<Config, String> {
+fn parse(text: &[u8], source: &Source) -> Result<Config, String> {
     let file: File = serde_json::from_slice(text).map_err(|e| e.to_string())?;
     let inner = file.settings.to_string();
     let (settings, columns) = settings::parse(inner.as_bytes())?;
     Ok(Config {
-        name: name.unwrap_or(file.name),
-        listen: listen.or(file.listen).ok_or("no address to listen on")?,
+        name: source.name.clone().unwrap_or(file.name),
+        management: source.management.or(file.management),
+        listen: source.listen.or(file.listen).ok_or("no address to listen on")?,
         seed: seed(&file.seed),
         names: file.dns,
         serial: file.known.seq,
--- a/src/engine/callers.rs
+++ b/src/engine/callers.rs
@@ -1,5 +1,6 @@
 //! Callers' connections: which are kept, what one of them may take, and on which a caller is told.
 
+use super::operators::FIRST_WORD_MS;
 use super::{CallerConn, Due, Effect, Engine, Fault, FromCaller, Release, ToCaller};
 use crate::interface::CallId;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -24,6 +25,7 @@
     open: bool,
     /// It has sent a whole message.
     asked: bool,
+    opened_at: f64,
     heard_at: f64,
     faults: u32,
     passed_on: u32,
@@ -38,10 +40,16 @@
     released: VecDeque<(f64, CallerConn, CallId, Release)>,
 }
 
+impl Callers {
+    pub fn any(&self) -> bool {
+        !self.conns.is_empty()
+    }
+}
+
 impl Engine {
     pub(super) fn caller_opened(&mut self, conn: CallerConn, out: &mut Vec<Effect>) {
-        let heard_at = self.now;
-        let new = Conn { open: true, asked: false, heard_at, faults: 0, passed_on: 0 };
+        let (opened_at, heard_at) = (self.now, self.now);
+        let new = Conn { open: true, asked: false, opened_at, heard_at, faults: 0, passed_on: 0 };
         self.callers.conns.insert(conn, new);
         self.timers.set(self.now + SILENT_MS, Due::CallerSilent(conn));
         // Releases that found no connection have waited for this one.
@@ -88,8 +96,8 @@
     }
 
     pub(super) fn close_if_done(&mut self, conn: CallerConn, out: &mut Vec<Effect>) {
-        let shut = self.callers.conns.get(&conn).is_some_and(|c| !c.open);
-        if shut && !self.calls.waiting_on().any(|on| on == conn) {
+        let Some(c) = self.callers.conns.get(&conn) else { return };
+        if (!c.open || self.closes_idle()) && !self.in_use(!c.open).contains(&conn) {
             self.close_caller(conn, out);
         }
     }
@@ -209,7 +217,33 @@
         c.passed_on <= PASSED_ON_MAX
     }
 
-    pub(super) fn look_at_callers(&mut self) {
+    pub(super) fn look_at_callers(&mut self, out: &mut Vec<Effect>) {
         self.callers.conns.values_mut().for_each(|c| c.passed_on = 0);
+        self.close_idle(out);
+    }
+
+    /// Connections with a set-up open, and in a drain those with a standing call: its caller may have no other on
+    /// which to hear of its end. A successor can tell of it as well, and a caller that has shut its side asked for no
+    /// more.
+    fn in_use(&self, shut: bool) -> BTreeSet<CallerConn> {
+        let standing = self.calls.standing_on().filter(|_| !shut && !self.successor);
+        self.calls.waiting_on().chain(standing).collect()
+    }
+
+    /// Closes what has no set-up open on it, so that its caller goes elsewhere with the next. One that has asked
+    /// nothing yet has a moment for it: it may have been sent here before the front knew better.
+    pub(super) fn close_idle(&mut self, out: &mut Vec<Effect>) {
+        if !self.closes_idle() {
+            return;
+        }
+        let busy = self.in_use(false);
+        let idle = |id: &CallerConn, c: &Conn| {
+            !busy.contains(id) && (c.asked || self.now - c.opened_at >= FIRST_WORD_MS)
+        };
+        let idle: Vec<_> =
+            self.callers.conns.iter().filter(|(id, c)| idle(id, c)).map(|(&id, _)| id).collect();
+        for conn in idle {
+            self.close_caller(conn, out);
+        }
     }
 }
--- a/src/engine/calls.rs
+++ b/src/engine/calls.rs
@@ -37,7 +37,7 @@
 
 struct Call {
     conn: CallerConn,
-    class: String,
+    class: usize,
     number: Option<String>,
     description: String,
     deadline: f64,
@@ -80,6 +80,11 @@
         self.live.get(&call)?.attempt.as_ref().map(|a| a.number)
     }
 
+    /// Set-ups that wait for their answer.
+    pub fn in_progress(&self) -> usize {
+        self.live.values().filter(|c| !c.answered).count()
+    }
+
     pub fn none_in_set_up(&self) -> bool {
         self.live.values().all(|c| c.answered && c.attempt.is_none())
     }
@@ -89,6 +94,11 @@
         self.live.values().filter(|c| !c.answered).map(|c| c.conn)
     }
 
+    /// The connections of the calls that stand.
+    pub fn standing_on(&self) -> impl Iterator<Item = CallerConn> {
+        self.live.values().filter(|c| c.standing.is_some()).map(|c| c.conn)
+    }
+
     /// The connection of a call's set-up.
     pub fn conn_of(&self, call: CallId) -> Option<CallerConn> {
         self.live.get(&call).map(|c| c.conn)
@@ -152,9 +162,11 @@
         }
         let class = self.host.classes.iter().position(|c| c.name == set_up.class).ok_or(Fault::Invalid)?;
         self.in_range(&self.host.classes[class], &set_up)?;
-        if !self.takes_calls() || self.calls.in_set_up() >= self.host.open_cap {
+        if !self.takes_calls() || !self.drain_takes() || self.calls.in_set_up() >= self.host.open_cap {
+            self.count(class, |o| &mut o.refused);
             let refused = ToCaller::Refused { call: id, stay_away_ms: 0.0 };
             out.push(Effect::ToCaller { conn, message: refused });
+            self.close_if_done(conn, out);
             return Ok(());
         }
         // The time that it lay unread is part of its caller's wait.
@@ -171,7 +183,7 @@
         self.timers.set(deadline, Due::CallOver(id));
         let call = Call {
             conn,
-            class: set_up.class,
+            class,
             number: set_up.number,
             description: set_up.description,
             deadline,
@@ -235,7 +247,9 @@
             return log::debug!("call {:016x} was answered already", id.0);
         };
         call.answered = true;
-        let conn = call.conn;
+        let (conn, class) = (call.conn, call.class);
+        let refused = matches!(message, ToCaller::Refused { .. });
+        self.count(class, |o| if refused { &mut o.refused } else { &mut o.failed });
         out.push(Effect::ToCaller { conn, message });
         self.end_out(id, Outcome::Cancelled, out);
         self.tidy(id);
@@ -295,11 +309,12 @@
         attempt.stage = Stage::Out(conn);
         let message = ToServer::SetUp {
             call: id,
-            class: call.class.clone(),
+            class: self.host.classes.get(call.class).map(|c| c.name.clone()).unwrap_or_default(),
             left_ms: (call.deadline - self.now).max(0.0).floor() as u64,
             number: call.number.clone(),
             description: call.description.clone(),
         };
+        self.tries += 1;
         out.push(Effect::ToServer { conn, message, confirm: false });
     }
 
@@ -415,7 +430,8 @@
         call.standing = Some(Standing { server, conn, since: self.now });
         // A standing call needs neither any more, and it may stand for long.
         (call.description, call.number) = (String::new(), None);
-        let caller = call.conn;
+        let (caller, class) = (call.conn, call.class);
+        self.count(class, |o| &mut o.stood);
         out.push(Effect::ToCaller { conn: caller, message: ToCaller::Answer { call: id, description } });
         let after_ms = self.now - attempt.sent_at;
         self.passed_on(server, conn, attempt.sent_at);
--- a/src/engine/fleet.rs
+++ b/src/engine/fleet.rs
@@ -80,6 +80,15 @@
         self.servers.get(&server).is_some_and(|s| s.listing.state == Listed::Ready)
     }
 
+    /// Call servers on the list.
+    pub fn known(&self) -> usize {
+        self.servers.len()
+    }
+
+    pub fn ids_listed(&self) -> impl Iterator<Item = ServerId> {
+        self.servers.keys().copied()
+    }
+
     pub fn has_place(&self, place: u32) -> bool {
         self.servers.values().any(|s| s.listing.place == place)
     }
--- a/src/engine/messages.rs
+++ b/src/engine/messages.rs
@@ -12,6 +12,49 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ServerConn(pub u64);
 
+/// An operator's question, as the driver numbers it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct OperatorConn(pub u64);
+
+/// What operators ask for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OperatorAsk {
+    Ready,
+    Figures,
+    /// Drain: take nothing new, and let what is there come to its end.
+    OutOfService,
+    InService,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum OperatorAnswer {
+    Ready(bool),
+    Figures(Figures),
+    Done,
+}
+
+/// How set-ups of a class ended, since the start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Outcomes {
+    pub stood: u64,
+    pub refused: u64,
+    pub failed: u64,
+}
+
+/// What operators are shown.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Figures {
+    /// By the classes' names.
+    pub outcomes: Vec<(String, Outcomes)>,
+    /// Attempts sent to call servers.
+    pub tries: u64,
+    /// Set-ups taken and not yet ended.
+    pub in_progress: usize,
+    /// Call servers on the list, and how many of them are avoided at present.
+    pub known: usize,
+    pub skipped: usize,
+}
+
 /// A set-up as its caller sent it.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct SetUp {
@@ -201,8 +244,15 @@
         settings: Settings,
         host: HostSettings,
     },
-    /// A planned stop.
-    Stop,
+    /// An operator asks; one answer is owed.
+    Operator {
+        conn: OperatorConn,
+        ask: OperatorAsk,
+    },
+    /// A planned stop. With a successor another process of this program serves at the same address already.
+    Stop {
+        successor: bool,
+    },
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -224,6 +274,10 @@
         confirm: bool,
     },
     CloseServer(ServerConn),
+    ToOperator {
+        conn: OperatorConn,
+        answer: OperatorAnswer,
+    },
     /// All that was taken is answered.
     Exit,
 }
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -8,6 +8,7 @@
 mod calls;
 mod fleet;
 mod messages;
+mod operators;
 mod timers;
 
 pub use messages::*;
@@ -62,6 +63,13 @@
     now: f64,
     started: f64,
     stopping: Option<f64>,
+    /// The program that takes this one's place is there already.
+    successor: bool,
+    /// An operator ordered the drain then.
+    out_of_service: Option<f64>,
+    /// How set-ups ended, by class, and the attempts sent: what operators read.
+    outcomes: Vec<Outcomes>,
+    tries: u64,
     exiting: bool,
 }
 
@@ -83,6 +91,10 @@
             now,
             started: now,
             stopping: None,
+            successor: false,
+            out_of_service: None,
+            outcomes: Vec::new(),
+            tries: 0,
             exiting: false,
         }
     }
@@ -108,7 +120,8 @@
             Event::List { serial, servers } => self.follow_list(serial, servers, out),
             Event::Settings { settings, host } => self.follow_settings(settings, host),
             Event::Tick => {}
-            Event::Stop => self.stop(),
+            Event::Operator { conn, ask } => self.hear_operator(conn, ask, out),
+            Event::Stop { successor } => self.stop(successor, out),
         }
         self.settle(out);
         while let Some(due) = self.timers.pop(self.now) {
@@ -167,7 +180,7 @@
             Due::CallerSilent(conn) => self.caller_silent(conn, out),
             Due::Look => {
                 self.look(out);
-                self.look_at_callers();
+                self.look_at_callers(out);
                 self.timers.set(self.now + LOOK_MS, Due::Look);
             }
             Due::Stopped => log::info!("set-ups are taken no more"),
@@ -188,14 +201,18 @@
 
     /// Work may come: every call server has told its state or could not be reached.
     fn ready(&self) -> bool {
-        self.stopping.is_none() && (self.fleet.all_tried() || self.now - self.started >= READY_ANYWAY_MS)
+        self.stopping.is_none()
+            && self.out_of_service.is_none()
+            && (self.fleet.all_tried() || self.now - self.started >= READY_ANYWAY_MS)
     }
 
-    fn stop(&mut self) {
+    fn stop(&mut self, successor: bool, out: &mut Vec<Effect>) {
         if self.stopping.is_none() {
-            log::info!("stopping once all that was taken is answered");
-            self.stopping = Some(self.now);
+            let heir = if successor { "; a successor serves" } else { "" };
+            log::info!("stopping once all that was taken is answered{heir}");
+            (self.stopping, self.successor) = (Some(self.now), successor);
             self.timers.set(self.now + STOP_TAKES_MS, Due::Stopped);
+            self.close_idle(out);
         }
     }
 
@@ -203,7 +220,9 @@
         self.stopping.is_none_or(|at| self.now - at < STOP_TAKES_MS)
     }
 
+    /// With a successor there is nothing to wait for but the callers that are here.
     fn may_exit(&self) -> bool {
-        !self.takes_calls() && self.calls.none_in_set_up()
+        let left = if self.successor { !self.callers.any() } else { !self.takes_calls() };
+        self.stopping.is_some() && left && self.calls.none_in_set_up()
     }
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -31,6 +31,9 @@
     /// address to listen on (else GW_LISTEN, else the configuration's)
     #[argh(option)]
     listen: Option<SocketAddr>,
+    /// address for operators (else GW_MANAGEMENT, else the configuration's, else none)
+    #[argh(option)]
+    management: Option<SocketAddr>,
     /// least weighty log lines written: error, warn, info, debug or trace (info)
     #[argh(option, default = "log::LevelFilter::Info")]
     log: log::LevelFilter,
@@ -50,27 +53,32 @@
 #[argh(subcommand, name = "version")]
 struct Version {}
 
-fn source(path: Option<PathBuf>, listen: Option<SocketAddr>) -> Result<config::Source, String> {
+fn source(
+    path: Option<PathBuf>,
+    listen: Option<SocketAddr>,
+    management: Option<SocketAddr>,
+) -> Result<config::Source, String> {
     let variable = |name: &str| std::env::var(name).ok().filter(|v| !v.is_empty());
     let path = path.or_else(|| variable("GW_CONFIG").map(PathBuf::from));
     let path = path.ok_or("no configuration: give --config or set GW_CONFIG")?;
-    let listen = match (listen, variable("GW_LISTEN")) {
-        (None, Some(text)) => Some(text.parse().map_err(|e| format!("GW_LISTEN {text}: {e}"))?),
-        (listen, _) => listen,
+    let address = |given: Option<SocketAddr>, name: &str| match (given, variable(name)) {
+        (None, Some(text)) => text.parse().map(Some).map_err(|e| format!("{name} {text}: {e}")),
+        (given, _) => Ok(given),
     };
-    Ok(config::Source { path, listen, name: variable("GW_NAME") })
+    let (listen, management) = (address(listen, "GW_LISTEN")?, address(management, "GW_MANAGEMENT")?);
+    Ok(config::Source { path, listen, management, name: variable("GW_NAME") })
 }
 
 fn run(command: Command) -> Result<(), String> {
     match command {
         Command::Serve(serve) => {
-            let source = source(serve.config, serve.listen)?;
+            let source = source(serve.config, serve.listen, serve.management)?;
             let config = source.read()?;
             logger::start(&config.name, serve.log)?;
             net::driver::run(config, source)
         }
         Command::Check(check) => {
-            let config = source(check.config, None)?.read()?;
+            let config = source(check.config, None, None)?.read()?;
             println!(
                 "{}: {} call servers known, listening on {}",
                 config.name,
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -1,9 +1,12 @@
 //! Performs the reducer's effects: one queue of events in, one clock, one loop.
 
+use super::listeners::{self, Heirs};
 use super::servers::Order;
-use super::{WRITE_QUEUE, callers, names, servers};
+use super::{WRITE_QUEUE, callers, names, operators, servers};
 use crate::config::{Config, Source};
-use crate::engine::{CallerConn, Effect, Engine, Event, ServerConn, ToCaller};
+use crate::engine::{
+    CallerConn, Effect, Engine, Event, OperatorAnswer, OperatorAsk, OperatorConn, ServerConn, ToCaller,
+};
 use std::cell::Cell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -11,7 +14,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::{JoinSet, LocalSet};
 use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
 
@@ -19,6 +22,8 @@
 const EVENT_QUEUE: usize = 1024;
 /// Events taken before the effects of all are performed.
 const BATCH: usize = 256;
+/// Operators' questions that may wait.
+const OPERATOR_QUEUE: usize = 16;
 /// What is written at the end is waited for at most so long.
 const LAST_WRITES: Duration = Duration::from_secs(2);
 /// No descriptor is free: the next connection is taken up after this.
@@ -55,8 +60,8 @@
 async fn serve(mut config: Config, source: Source) -> Result<(), String> {
     // First of all: a SIGHUP without a handler ends the program.
     let mut hangups = signal(SignalKind::hangup()).map_err(|e| format!("signals: {e}"))?;
-    let listener = TcpListener::bind(config.listen).await;
-    let listener = listener.map_err(|e| format!("listening on {}: {e}", config.listen))?;
+    let bound = |at| listeners::bind(at).map_err(|e| format!("listening on {at}: {e}"));
+    let listener = bound(config.listen)?;
     let mut stops = signal(SignalKind::terminate()).map_err(|e| format!("signals: {e}"))?;
     let mut interrupts = signal(SignalKind::interrupt()).map_err(|e| format!("signals: {e}"))?;
     let (sender, mut events) = mpsc::channel(EVENT_QUEUE);
@@ -65,7 +70,15 @@
     tokio::task::spawn_local(beat(driver.clock.clone()));
     tokio::task::spawn_local(names::poll(at, config.seed, sender));
     let listening = listener.local_addr().map_err(|e| format!("listening: {e}"))?;
+    let heirs = Heirs::join(listening);
+    let (asks, mut questions) = mpsc::channel(OPERATOR_QUEUE);
+    if let Some(at) = config.management {
+        let listener = bound(at)?;
+        log::info!("operators on {}", listener.local_addr().map_err(|e| format!("listening: {e}"))?);
+        tokio::task::spawn_local(operators::listen(listener, asks.clone()));
+    }
     log::info!("listening on {listening}");
+    let mut listener = Some(listener);
     let known = std::mem::take(&mut config.known);
     driver.step(Event::List { serial: config.serial, servers: known });
     while !driver.exiting {
@@ -78,7 +91,7 @@
                     driver.step(event);
                 }
             }
-            accepted = listener.accept(), if driver.may_accept() => match accepted {
+            accepted = listeners::accept(listener.as_ref()), if driver.may_accept() => match accepted {
                 Ok((stream, _)) => driver.accept(stream),
                 Err(e) => {
                     log::warn!("accepting: {e}");
@@ -89,8 +102,9 @@
                 Ok(new) => driver.follow(&config, new),
                 Err(e) => log::error!("the configuration stays as it was: {e}"),
             },
-            _ = stops.recv() => driver.step(Event::Stop),
-            _ = interrupts.recv() => driver.step(Event::Stop),
+            Some((ask, answer)) = questions.recv() => driver.ask(ask, answer),
+            _ = stops.recv() => driver.stop(&mut listener, &heirs),
+            _ = interrupts.recv() => driver.stop(&mut listener, &heirs),
             () = sleep(Duration::from_secs_f64(wait / 1000.0)) => driver.step(Event::Tick),
         }
     }
@@ -122,6 +136,9 @@
     accept_from: Instant,
     accepted: u64,
     servers: HashMap<ServerConn, mpsc::Sender<Order>>,
+    /// Where operators' answers go.
+    operators: HashMap<OperatorConn, oneshot::Sender<OperatorAnswer>>,
+    asked: u64,
     tasks: JoinSet<()>,
     effects: Vec<Effect>,
     exiting: bool,
@@ -142,6 +159,8 @@
             accept_from: Instant::now(),
             accepted: 0,
             servers: HashMap::new(),
+            operators: HashMap::new(),
+            asked: 0,
             tasks: JoinSet::new(),
             effects: Vec::new(),
             exiting: false,
@@ -212,6 +231,10 @@
             Effect::CloseServer(conn) => {
                 self.servers.remove(&conn);
             }
+            Effect::ToOperator { conn, answer } => {
+                // Nobody waits for it if the operator has hung up.
+                let _ = self.operators.remove(&conn).map(|reply| reply.send(answer));
+            }
             Effect::Exit => self.exiting = true,
         }
     }
@@ -222,6 +245,25 @@
         self.callers_held <= self.callers_max && Instant::now() >= self.accept_from
     }
 
+    fn ask(&mut self, ask: OperatorAsk, reply: oneshot::Sender<OperatorAnswer>) {
+        self.asked += 1;
+        let conn = OperatorConn(self.asked);
+        self.operators.insert(conn, reply);
+        self.step(Event::Operator { conn, ask });
+    }
+
+    /// A successor takes what comes from now on: the connections that this listener was given already are served
+    /// here, and it is let go at once, so that no later one is left unread.
+    fn stop(&mut self, listener: &mut Option<TcpListener>, heirs: &Heirs) {
+        let successor = heirs.any_other();
+        if successor && let Some(listener) = listener.take() {
+            for stream in listeners::last_of(listener) {
+                self.accept(stream);
+            }
+        }
+        self.step(Event::Stop { successor });
+    }
+
     fn accept(&mut self, stream: TcpStream) {
         if let Err(e) = stream.set_nodelay(true) {
             log::debug!("a caller's connection: {e}");
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,8 +1,10 @@
-//! Sockets: the codecs and connections of callers, call servers and the name service, and what drives them.
+//! Sockets: the codecs and connections of callers, call servers, operators and the name service, and what drives them.
 
 pub mod callers;
 pub mod driver;
+pub mod listeners;
 pub mod names;
+pub mod operators;
 pub mod servers;
 
 /// A message holds at most so many bytes, on every connection.
--- /dev/null
+++ b/src/net/operators.rs
@@ -0,0 +1,186 @@
+//! Operators: HTTP/1.1 at an address of its own, one call a connection.
+
+use crate::engine::{Figures, OperatorAnswer, OperatorAsk};
+use bytes::{BufMut, BytesMut};
+use futures_util::{SinkExt, StreamExt};
+use std::collections::VecDeque;
+use std::fmt::Write;
+use std::io;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::{AbortHandle, JoinSet};
+use tokio::time::{sleep, timeout};
+use tokio_util::codec::{Decoder, Encoder, Framed};
+
+/// Connections at most. One more, and the oldest is closed: it has had the longest to say what it wants, and whoever
+/// holds connections without a whole call must shut nobody out.
+const CONNS_MAX: usize = 12;
+/// A whole call comes within this, or its connection is closed.
+const CALL_WITHIN: Duration = Duration::from_secs(5);
+/// A call's head and its body, which means nothing here, hold at most so much.
+const HEAD_MAX: usize = 8 * 1024;
+const BODY_MAX: usize = 64 * 1024;
+const HEADERS_MAX: usize = 64;
+/// After the answer the peer has so long to close: closed at once, what it still sends would reset the answer away.
+const LINGER: Duration = Duration::from_millis(300);
+/// No descriptor is free: the next connection is taken up after this.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// A question to the reducer, and where its answer goes.
+pub type Question = (OperatorAsk, oneshot::Sender<OperatorAnswer>);
+
+/// What is asked, or the status that turns the call down.
+type Call = Result<OperatorAsk, u16>;
+
+struct Codec;
+
+impl Decoder for Codec {
+    type Item = Call;
+    type Error = io::Error;
+
+    fn decode(&mut self, bytes: &mut BytesMut) -> io::Result<Option<Call>> {
+        let mut headers = [httparse::EMPTY_HEADER; HEADERS_MAX];
+        let mut request = httparse::Request::new(&mut headers);
+        let head = match request.parse(bytes) {
+            Ok(httparse::Status::Complete(head)) if head <= HEAD_MAX => head,
+            Ok(httparse::Status::Partial) if bytes.len() <= HEAD_MAX => return Ok(None),
+            Ok(_) | Err(httparse::Error::TooManyHeaders) => return Ok(Some(Err(431))),
+            Err(_) => return Ok(Some(Err(400))),
+        };
+        let length = request.headers.iter().find(|h| h.name.eq_ignore_ascii_case("content-length"));
+        let length = length.map_or(Ok(0), |h| {
+            std::str::from_utf8(h.value).ok().and_then(|v| v.trim().parse::<usize>().ok()).ok_or(())
+        });
+        let body = match length {
+            Ok(body) if body <= BODY_MAX => body,
+            Ok(_) => return Ok(Some(Err(413))),
+            Err(()) => return Ok(Some(Err(400))),
+        };
+        if bytes.len() < head + body {
+            return Ok(None);
+        }
+        let path = request.path.unwrap_or_default();
+        let path = path.split_once('?').map_or(path, |(path, _)| path);
+        Ok(Some(asked(request.method.unwrap_or_default(), path)))
+    }
+}
+
+fn asked(method: &str, path: &str) -> Call {
+    let (wanted, ask) = match path {
+        "/control/ready" => ("GET", OperatorAsk::Ready),
+        "/control/counters" => ("GET", OperatorAsk::Figures),
+        "/control/out-of-service" => ("POST", OperatorAsk::OutOfService),
+        "/control/in-service" => ("POST", OperatorAsk::InService),
+        _ => return Err(404),
+    };
+    if method == wanted { Ok(ask) } else { Err(405) }
+}
+
+impl Encoder<(u16, String)> for Codec {
+    type Error = io::Error;
+
+    fn encode(&mut self, (status, body): (u16, String), bytes: &mut BytesMut) -> io::Result<()> {
+        let reason = match status {
+            200 => "OK",
+            400 => "Bad Request",
+            404 => "Not Found",
+            405 => "Method Not Allowed",
+            413 => "Content Too Large",
+            431 => "Request Header Fields Too Large",
+            _ => "Service Unavailable",
+        };
+        let head = format!(
+            "HTTP/1.1 {status} {reason}\r\nContent-Type: text/plain; version=0.0.4; charset=utf-8\r\n\
+             Content-Length: {}\r\nConnection: close\r\n\r\n",
+            body.len()
+        );
+        bytes.put_slice(head.as_bytes());
+        bytes.put_slice(body.as_bytes());
+        Ok(())
+    }
+}
+
+/// Takes operators' connections for as long as the program runs. It owns the listener and all of them.
+pub async fn listen(listener: TcpListener, questions: mpsc::Sender<Question>) {
+    let mut tasks = JoinSet::new();
+    let mut open: VecDeque<AbortHandle> = VecDeque::new();
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                while tasks.try_join_next().is_some() {}
+                open.retain(|task| !task.is_finished());
+                if open.len() >= CONNS_MAX
+                    && let Some(oldest) = open.pop_front()
+                {
+                    oldest.abort();
+                }
+                open.push_back(tasks.spawn_local(serve(stream, questions.clone())));
+            }
+            Err(e) => {
+                log::warn!("accepting an operator: {e}");
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve(stream: TcpStream, questions: mpsc::Sender<Question>) {
+    let mut framed = Framed::new(stream, Codec);
+    match timeout(CALL_WITHIN, framed.next()).await {
+        Ok(Some(Ok(call))) => {
+            if let Err(e) = framed.send(answer(call, &questions).await).await {
+                return log::debug!("an operator's connection: {e}");
+            }
+            let mut stream = framed.into_inner();
+            if stream.shutdown().await.is_ok() {
+                let mut rest = [0; 512];
+                let gone = async { while stream.read(&mut rest).await.is_ok_and(|n| n > 0) {} };
+                let _ = timeout(LINGER, gone).await;
+            }
+        }
+        Ok(Some(Err(e))) => log::debug!("an operator's connection: {e}"),
+        Ok(None) | Err(_) => {}
+    }
+}
+
+/// Status and text of the answer to a call.
+async fn answer(call: Call, questions: &mpsc::Sender<Question>) -> (u16, String) {
+    let ask = match call {
+        Ok(ask) => ask,
+        Err(status) => return (status, String::new()),
+    };
+    let (reply, answer) = oneshot::channel();
+    if questions.send((ask, reply)).await.is_err() {
+        return (503, String::new());
+    }
+    match answer.await {
+        Ok(OperatorAnswer::Ready(true)) => (200, "ready\n".into()),
+        Ok(OperatorAnswer::Ready(false)) => (503, "not ready\n".into()),
+        Ok(OperatorAnswer::Figures(figures)) => (200, text(&figures)),
+        Ok(OperatorAnswer::Done) => (200, "done\n".into()),
+        Err(_) => (503, String::new()),
+    }
+}
+
+/// The figures in Prometheus's text format.
+fn text(figures: &Figures) -> String {
+    let mut text = String::from("# TYPE gw_handled counter\n");
+    for (class, n) in &figures.outcomes {
+        for (outcome, n) in [("passed", n.stood), ("dropped", n.refused), ("bad_gateway", n.failed)] {
+            // Writing to a text does not fail.
+            let _ = writeln!(text, "gw_handled{{category={class:?},outcome=\"{outcome}\"}} {n}");
+        }
+    }
+    let gauges = [
+        ("upstream_tries", "counter", figures.tries),
+        ("in_progress", "gauge", figures.in_progress as u64),
+        ("known_call_servers", "gauge", figures.known as u64),
+        ("skipped_call_servers", "gauge", figures.skipped as u64),
+    ];
+    for (name, kind, n) in gauges {
+        let _ = writeln!(text, "# TYPE gw_{name} {kind}\ngw_{name} {n}");
+    }
+    text
+}
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -629,6 +629,11 @@
         s.state == Listed::Ready && now >= s.full_until && self.has_room(now, id, s)
     }
 
+    /// Whether a server gets nothing now, or but a trickle.
+    pub fn avoids(&self, now: f64, id: ServerId) -> bool {
+        self.servers.get(&id).is_none_or(|s| s.silent(now) || !self.open(now, id, s))
+    }
+
     /// The longest wait in a line that serves anyone: beyond it set-ups are repeated, or stand too late, as
     /// the answer may wait in the same line once more.
     fn useful_wait_ms(&self) -> f64 {
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -518,6 +518,129 @@
     caller.expect(12, 7, Some(16));
 }
 
+/// Operators ask over HTTP and read the figures, also while others hold connections without a whole call. Out of
+/// service tests fail, callers' connections are closed as they fall idle, and set-ups on those that do not are
+/// turned away in the end; calls that stand come to their end on the connections that they were set up on. In service again all is as before.
+#[test]
+fn operators_read_the_figures_and_order_a_drain() {
+    let (_a, _b, program, _names, mut la, mut lb, mut caller) = two();
+    let _half: Vec<_> = (0..40).map(|_| program.half_call("GET /control/rea")).collect();
+    assert_eq!(program.operator("GET /control/ready").0, 200);
+    let wrong = ["GET /", "GET /control/out-of-service", "POST /control/ready", "\0"];
+    assert_eq!(wrong.map(|call| program.operator(call).0), [404, 405, 405, 400]);
+    stand(&mut caller, &mut la, 7);
+    caller.set_up(8, 0, 300);
+    la.expect("new", 8);
+    caller.expect(12, 8, Some(41));
+    la.expect("down", 8);
+    caller.set_up(9, 0, 9000);
+    la.expect("new", 9);
+    insta::assert_snapshot!(program.operator("GET /control/counters").1, @r#"
+    # TYPE gw_handled counter
+    gw_handled{category="voice",outcome="passed"} 1
+    gw_handled{category="voice",outcome="dropped"} 0
+    gw_handled{category="voice",outcome="bad_gateway"} 1
+    # TYPE gw_upstream_tries counter
+    gw_upstream_tries 3
+    # TYPE gw_in_progress gauge
+    gw_in_progress 1
+    # TYPE gw_known_call_servers gauge
+    gw_known_call_servers 2
+    # TYPE gw_skipped_call_servers gauge
+    gw_skipped_call_servers 0
+    "#);
+    la.up(9);
+    caller.expect(9, 9, None);
+    la.down(9, 16, json!({}));
+    caller.expect(12, 9, Some(16));
+    la.expect("ack", 9);
+    let mut idle = program.ready_caller();
+    let since = Instant::now();
+    assert_eq!(program.operator("POST /control/out-of-service").0, 200);
+    assert_eq!(program.operator("GET /control/ready").0, 503);
+    assert!(!program.caller().test());
+    assert_eq!(idle.hear(), None);
+    // One whose caller was sent here before the front knew is served still.
+    let mut late = program.caller();
+    late.set_up(10, 0, 9000);
+    la.expect("new", 10);
+    la.down(10, 17, json!({}));
+    lb.expect("new", 10);
+    lb.down(10, 17, json!({}));
+    late.expect(12, 10, Some(41));
+    assert_eq!(late.hear(), None);
+    // On this one a call stands, so it is kept. Set-ups come on and on.
+    let mut open = 11;
+    caller.set_up(open, 0, 9000);
+    la.expect("new", open);
+    let refused = loop {
+        caller.set_up(open + 1, 0, 9000);
+        caller.say(52, 0, &[(143, &[0])]);
+        if caller.hear().unwrap().0 == 12 {
+            break since.elapsed();
+        }
+        la.expect("new", open + 1);
+        la.up(open);
+        caller.expect(9, open, None);
+        open += 1;
+    };
+    assert!((Duration::from_secs(1)..Duration::from_secs(2)).contains(&refused), "{refused:?}");
+    assert!(!caller.expect_test());
+    la.up(open);
+    caller.expect(9, open, None);
+    for call in 11..=open {
+        la.down(call, 16, json!({}));
+        caller.expect(12, call, Some(16));
+        caller.say(16, call, &[]);
+    }
+    caller.say(12, 7, &[(143, &[16])]);
+    caller.expect(16, 7, None);
+    assert_eq!(caller.hear(), None);
+    assert_eq!(program.operator("POST /control/in-service").0, 200);
+    let mut caller = program.ready_caller();
+    assert_eq!(program.operator("GET /control/ready").0, 200);
+    caller.set_up(5000, 0, 9000);
+    while la.hear().unwrap()["t"] != "new" {}
+    la.up(5000);
+    caller.expect(9, 5000, None);
+}
+
+/// A new version is started beside the running program. Told to stop, that lets go of the address at once, answers
+/// what it has taken and closes connections as they fall idle; their callers find the new one. What stood there is
+/// released here.
+#[test]
+fn a_successor_takes_over_at_the_same_address() {
+    let (a, b, mut old, _names, mut la, _lb, mut caller) = two();
+    stand(&mut caller, &mut la, 7);
+    let mut idle = old.ready_caller();
+    let new = old.successor();
+    let (mut na, _nb) = (a.accept(), b.accept());
+    let since = Instant::now();
+    while new.operator("GET /control/ready").0 != 200 {
+        assert!(since.elapsed() < Duration::from_secs(3), "the successor is not ready");
+    }
+    caller.set_up(8, 0, 9000);
+    la.expect("new", 8);
+    old.terminate();
+    assert_eq!(idle.hear(), None);
+    for call in 20..30 {
+        let mut caller = new.caller();
+        stand(&mut caller, &mut na, call);
+        assert!(caller.test());
+    }
+    caller.set_up(9, 0, 3000);
+    la.expect("new", 9);
+    la.up(8);
+    caller.expect(9, 8, None);
+    la.up(9);
+    caller.expect(9, 9, None);
+    assert_eq!(caller.hear(), None);
+    assert!(old.wait().success());
+    assert!(since.elapsed() < Duration::from_secs(4), "{:?}", since.elapsed());
+    na.down(7, 16, json!({}));
+    new.caller().expect(12, 7, Some(16));
+}
+
 #[test]
 fn what_is_wrong_at_the_start_is_one_line() {
     let complaint = |arguments: &[&str]| {
--- a/tests/process/rig.rs
+++ b/tests/process/rig.rs
@@ -313,7 +313,7 @@
         self.expect_test()
     }
 
-    fn expect_test(&mut self) -> bool {
+    pub fn expect_test(&mut self) -> bool {
         let (kind, _, parameters) = self.hear().expect("an open connection");
         assert_eq!(kind, 53, "{parameters:?}");
         parameters == [(143, "1".to_owned())]
@@ -324,6 +324,7 @@
 pub struct Program {
     pub child: Child,
     addr: SocketAddr,
+    management: SocketAddr,
     folder: std::path::PathBuf,
     config: Value,
 }
@@ -345,6 +346,35 @@
         caller
     }
 
+    /// An operator's call, cut into single bytes: status and text of its answer.
+    pub fn operator(&self, call: &str) -> (u16, String) {
+        let mut stream = TcpStream::connect(self.management).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        stream.set_nodelay(true).unwrap();
+        let request = format!("{call} HTTP/1.1\r\nHost: n0\r\nContent-Length: 2\r\n\r\n{{}}");
+        for byte in request.bytes() {
+            stream.write_all(&[byte]).unwrap();
+        }
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).unwrap();
+        let (head, text) = answer.split_once("\r\n\r\n").unwrap();
+        (head.split(' ').nth(1).unwrap().parse().unwrap(), text.to_owned())
+    }
+
+    /// An operator's connection that says this and no more.
+    pub fn half_call(&self, text: &str) -> TcpStream {
+        let mut stream = TcpStream::connect(self.management).unwrap();
+        stream.write_all(text.as_bytes()).unwrap();
+        stream
+    }
+
+    /// Another process of the program, at the same address for callers.
+    pub fn successor(&self) -> Program {
+        let (child, addr, management) = spawn(&self.folder, &["serve", "--listen", &self.addr.to_string()]);
+        assert_eq!(addr, self.addr);
+        Program { child, addr, management, folder: self.folder.clone(), config: self.config.clone() }
+    }
+
     pub fn terminate(&self) {
         self.signal("-TERM");
     }
@@ -391,7 +421,10 @@
 
 pub fn run(arguments: &[&str]) -> Command {
     let mut command = Command::new(env!("CARGO_BIN_EXE_corkreach"));
-    command.args(arguments).env_remove("GW_CONFIG").env_remove("GW_LISTEN").env_remove("GW_NAME");
+    command.args(arguments);
+    for variable in ["GW_CONFIG", "GW_LISTEN", "GW_MANAGEMENT", "GW_NAME"] {
+        command.env_remove(variable);
+    }
     command
 }
 
@@ -412,23 +445,32 @@
             "state": "Ready", "weight": 4, "started_ms": s.started_ms})
         })
         .collect();
-    let config = json!({"name": "n0", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
+    let config = json!({"name": "n0", "listen": "127.0.0.1:0", "management": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
         "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets}, "dns": names.addr, "settings": settings(),
         "known": {"seq": 1, "results": [{"seq": 1, "fleet": {"version": 1, "full": true, "servers": known}}]}});
     let folder = std::env::temp_dir().join(format!("corkreach-{}-{}", std::process::id(), names.addr.port()));
     std::fs::create_dir_all(&folder).unwrap();
-    let file = folder.join("config.json");
-    std::fs::write(&file, config.to_string()).unwrap();
-    let mut child =
-        run(&["serve"]).env("GW_CONFIG", &file).stdin(Stdio::null()).stderr(Stdio::piped()).spawn().unwrap();
+    std::fs::write(folder.join("config.json"), config.to_string()).unwrap();
+    let (child, addr, management) = spawn(&folder, &["serve"]);
+    (Program { child, addr, management, folder, config }, names)
+}
+
+/// Starts a process with the configuration and the `$TMPDIR` in this folder; it tells its two addresses.
+fn spawn(folder: &std::path::Path, arguments: &[&str]) -> (Child, SocketAddr, SocketAddr) {
+    let mut command = run(arguments);
+    command.env("GW_CONFIG", folder.join("config.json")).env("TMPDIR", folder);
+    let mut child = command.stdin(Stdio::null()).stderr(Stdio::piped()).spawn().unwrap();
     let mut log = BufReader::new(child.stderr.take().unwrap());
-    let mut line = String::new();
-    while !line.contains("listening on ") {
-        line.clear();
-        assert!(log.read_line(&mut line).unwrap() > 0, "the program ended before it listened");
-    }
-    let addr = line.trim().rsplit(' ').next().unwrap().parse().unwrap();
+    let mut told = |what: &str| {
+        let mut line = String::new();
+        while !line.contains(what) {
+            line.clear();
+            assert!(log.read_line(&mut line).unwrap() > 0, "the program ended before it listened");
+        }
+        line.trim().rsplit(' ').next().unwrap().parse().unwrap()
+    };
+    let (management, addr) = (told("operators on "), told("listening on "));
     // The log is read on, or the program would stand still once the pipe is full.
     std::thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
-    (Program { child, addr, folder, config }, names)
+    (child, addr, management)
 }
