Hear what a closed connection still brings, and give call servers two connections in turn

Traces (new: effects and callers' messages at level trace) showed three ways. (1) close_mute took the first state on a new connection for a round told on all, and closed sound connections; a release on its way there was lost. (2) Whatever was unread on a connection closed from here was dropped with it. (3) A release of a set-up whose answer had been lost was read as an error (ended_by: Normal => Fault), and the call tried elsewhere. Ruled out: a release lost between the close and the next dial; dialling 80 ms later did not help and was taken back.

Also seen: for up to 0.8 s after one of two connections fell mute the module refused nearly all, as the oldest set-up's wait counts as the line, and nothing sent later passed elsewhere. Set-ups now take turns on two connections.

calls.rs and fleet.rs are split (answers, liveness). The new test fails on the program before.

--- /dev/null
+++ b/src/engine/answers.rs
@@ -0,0 +1,126 @@
+//! What call servers say of calls: answers, and the ends of calls that stood or never did.
+
+use super::calls::{Attempt, Call, Stage, Standing};
+use super::{CallerConn, Effect, Ending, Engine, Release, ServerConn, ToCaller, ToServer};
+use crate::interface::{self as module, CallId, LoadReport, Outcome, ServerId};
+
+impl Engine {
+    pub(super) fn answered_by(
+        &mut self,
+        server: ServerId,
+        conn: ServerConn,
+        id: CallId,
+        description: Option<String>,
+        out: &mut Vec<Effect>,
+    ) {
+        let call = self.calls.live.get_mut(&id);
+        if call.as_ref().and_then(|c| c.standing.as_ref()).is_some_and(|s| s.server == server) {
+            return;
+        }
+        let out_there = |a: &Attempt| a.server == server && matches!(a.stage, Stage::Out(_));
+        let call = call.filter(|c| !c.answered && c.attempt.as_ref().is_some_and(out_there));
+        let Some((call, description)) = call.zip(description) else {
+            // It crossed the call's end, or its description is missing: nobody will hear of it, so what
+            // stands there is released. An attempt being called off has its release on the way.
+            let stage = self.calls.live.get(&id).and_then(|c| c.attempt.as_ref()).map(|a| a.stage);
+            match stage {
+                Some(Stage::Out(_)) => self.end_out(id, Outcome::Reset, out),
+                Some(Stage::Ending(on, _)) if on == conn => {}
+                _ => self.release_at(server, Some(conn), id, out),
+            }
+            return;
+        };
+        let Some(attempt) = call.attempt.take() else { return };
+        call.answered = true;
+        call.standing = Some(Standing { server, conn, since: self.now });
+        // A standing call needs neither any more, and it may stand for long.
+        (call.description, call.number) = (String::new(), None);
+        let (caller, class) = (call.conn, call.class);
+        self.count(class, |o| &mut o.stood);
+        out.push(Effect::ToCaller { conn: caller, message: ToCaller::Answer { call: id, description } });
+        let after_ms = self.now - attempt.sent_at;
+        self.passed_on(server, conn, attempt.sent_at);
+        self.news.push_back(module::Event::Standing { call: id, server, after_ms });
+        self.close_if_done(caller, out);
+    }
+
+    pub(super) fn ended_by(
+        &mut self,
+        server: ServerId,
+        conn: ServerConn,
+        id: CallId,
+        how: Ending,
+        report: LoadReport,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(call) = self.calls.live.get_mut(&id) else {
+            // A call that stood before this program's start is over: its caller is to hear of it.
+            if !self.calls.ended.all.contains(&id) && matches!(how, Ending::Normal | Ending::Reset) {
+                let how = if how == Ending::Normal { Release::Completed } else { Release::Cut };
+                self.tell_any_caller(CallerConn(0), ToCaller::Released { call: id, how }, out);
+                out.push(Effect::ToServer { conn, message: ToServer::Heard(id), confirm: false });
+            }
+            return;
+        };
+        if call.standing.as_ref().is_some_and(|s| s.server == server) {
+            out.push(Effect::ToServer { conn, message: ToServer::Heard(id), confirm: false });
+            let normal = how == Ending::Normal;
+            return self.over(id, if normal { Release::Completed } else { Release::Cut }, report, out);
+        }
+        let Some(attempt) = call.attempt.as_ref().filter(|a| a.server == server) else { return };
+        let (sent_at, on) = match attempt.stage {
+            Stage::Waiting => return,
+            Stage::Out(on) | Stage::Ending(on, _) => (attempt.sent_at, on),
+        };
+        // What never stood ends on the connection of its set-up; what stood ends there or, if that is of no use any
+        // more, on another.
+        let stood = how == Ending::Normal || (how == Ending::Reset && on != conn);
+        if stood && !call.answered {
+            return self.over_unseen(conn, id, report, out);
+        }
+        if attempt.stage == Stage::Out(on) {
+            let outcome = match how {
+                Ending::Full { lines: true } => Outcome::NoLine,
+                Ending::Full { lines: false } => Outcome::ProcessorFull { wait_ms: None },
+                Ending::NotSent => Outcome::NotSent,
+                Ending::Reset => Outcome::Reset,
+                Ending::Error | Ending::Normal => Outcome::Fault,
+            };
+            self.passed_on(server, conn, sent_at);
+            self.end_attempt(id, outcome, report);
+        }
+    }
+
+    /// The call stood and is over, and its answer went astray. Tried elsewhere it would leave its caller without a
+    /// word of that end for longer than is allowed.
+    fn over_unseen(&mut self, conn: ServerConn, id: CallId, report: LoadReport, out: &mut Vec<Effect>) {
+        let Some(call) = self.calls.live.get_mut(&id) else { return };
+        let Some(attempt) = call.attempt.take() else { return };
+        out.push(Effect::ToServer { conn, message: ToServer::Heard(id), confirm: false });
+        self.tell_ended(id, attempt.server, Outcome::Completed, true, report);
+        self.answer(id, ToCaller::Failed(id), out);
+    }
+
+    /// A call that stood is over, by no wish of its caller: the caller is told.
+    fn over(&mut self, id: CallId, how: Release, report: LoadReport, out: &mut Vec<Effect>) {
+        let Some(call) = self.calls.live.get_mut(&id) else { return };
+        let Some(standing) = call.standing.take() else { return };
+        let conn = call.conn;
+        self.calls.forget(id);
+        self.tell_any_caller(conn, ToCaller::Released { call: id, how }, out);
+        let outcome = if how == Release::Completed { Outcome::Completed } else { Outcome::Reset };
+        self.tell_ended(id, standing.server, outcome, true, report);
+    }
+
+    /// The call server's process is gone, and what stood there before with it.
+    pub(super) fn cut(&mut self, server: ServerId, before: f64, out: &mut Vec<Effect>) {
+        let stood = |c: &Call| c.standing.as_ref().is_some_and(|s| s.server == server && s.since < before);
+        let cut = self.calls.ids(stood);
+        if !cut.is_empty() {
+            log::info!("{} calls cut at {}", cut.len(), self.fleet.name(server));
+        }
+        for id in cut {
+            self.over(id, Release::Cut, LoadReport::default(), out);
+        }
+    }
+}
--- a/src/engine/callers.rs
+++ b/src/engine/callers.rs
@@ -169,6 +169,7 @@
         // A connection that was closed from here is no longer heard.
         let Some(c) = self.callers.conns.get_mut(&conn) else { return };
         (c.asked, c.heard_at) = (true, self.now);
+        log::trace!("caller {}: {message:?}", conn.0);
         match message {
             FromCaller::SetUp(set_up) => {
                 let call = set_up.call;
--- a/src/engine/calls.rs
+++ b/src/engine/calls.rs
@@ -1,6 +1,6 @@
 //! Calls and their attempts: from the set-up to the one final answer, and to the release of what stood.
 
-use super::{CallerConn, Due, Effect, Ending, Engine, Fault, Release, ServerConn, SetUp, ToCaller, ToServer};
+use super::{CallerConn, Due, Effect, Engine, Fault, ServerConn, SetUp, ToCaller, ToServer};
 use crate::interface::{self as module, CallId, LoadReport, Outcome, ServerId};
 use crate::settings::ClassRules;
 use std::collections::{BTreeMap, HashSet, VecDeque};
@@ -13,15 +13,15 @@
 const WAIT_SLACK: f64 = 2.0;
 
 /// An attempt that has not ended.
-struct Attempt {
-    number: u32,
-    server: ServerId,
-    sent_at: f64,
-    stage: Stage,
+pub(super) struct Attempt {
+    pub(super) number: u32,
+    pub(super) server: ServerId,
+    pub(super) sent_at: f64,
+    pub(super) stage: Stage,
 }
 
 #[derive(Clone, Copy, PartialEq)]
-enum Stage {
+pub(super) enum Stage {
     /// For a connection.
     Waiting,
     Out(ServerConn),
@@ -29,31 +29,31 @@
     Ending(ServerConn, Outcome),
 }
 
-struct Standing {
-    server: ServerId,
-    conn: ServerConn,
-    since: f64,
+pub(super) struct Standing {
+    pub(super) server: ServerId,
+    pub(super) conn: ServerConn,
+    pub(super) since: f64,
 }
 
-struct Call {
-    conn: CallerConn,
-    class: usize,
-    number: Option<String>,
-    description: String,
-    deadline: f64,
+pub(super) struct Call {
+    pub(super) conn: CallerConn,
+    pub(super) class: usize,
+    pub(super) number: Option<String>,
+    pub(super) description: String,
+    pub(super) deadline: f64,
     /// It got its final answer, or is owed none.
-    answered: bool,
-    attempts: u32,
-    attempt: Option<Attempt>,
-    guard_until: f64,
-    standing: Option<Standing>,
+    pub(super) answered: bool,
+    pub(super) attempts: u32,
+    pub(super) attempt: Option<Attempt>,
+    pub(super) guard_until: f64,
+    pub(super) standing: Option<Standing>,
 }
 
 /// Calls of late that are over.
 #[derive(Default)]
-struct Ended {
-    oldest_first: VecDeque<CallId>,
-    all: HashSet<CallId>,
+pub(super) struct Ended {
+    pub(super) oldest_first: VecDeque<CallId>,
+    pub(super) all: HashSet<CallId>,
 }
 
 impl Ended {
@@ -71,8 +71,8 @@
 
 #[derive(Default)]
 pub(super) struct Calls {
-    live: BTreeMap<CallId, Call>,
-    ended: Ended,
+    pub(super) live: BTreeMap<CallId, Call>,
+    pub(super) ended: Ended,
 }
 
 impl Calls {
@@ -108,7 +108,7 @@
         self.live.values().filter(|c| c.standing.is_none()).count()
     }
 
-    fn ids(&self, which: impl Fn(&Call) -> bool) -> Vec<CallId> {
+    pub(super) fn ids(&self, which: impl Fn(&Call) -> bool) -> Vec<CallId> {
         self.live.iter().filter(|(_, c)| which(c)).map(|(&id, _)| id).collect()
     }
 
@@ -136,8 +136,24 @@
         out.filter(|a| a.stage == Stage::Out(conn)).map(|a| a.sent_at).reduce(f64::min)
     }
 
+    /// Whether a set-up of this call is out at this call server.
+    pub fn is_out_at(&self, call: CallId, server: ServerId) -> bool {
+        self.live.get(&call).and_then(|c| c.attempt.as_ref()).is_some_and(|a| a.server == server)
+    }
+
+    /// The connection on which a call at this call server was set up.
+    pub fn set_up_on(&self, call: CallId, server: ServerId) -> Option<ServerConn> {
+        let call = self.live.get(&call)?;
+        let standing = call.standing.as_ref().filter(|s| s.server == server).map(|s| s.conn);
+        let out = || match call.attempt.as_ref().filter(|a| a.server == server)?.stage {
+            Stage::Out(on) | Stage::Ending(on, _) => Some(on),
+            Stage::Waiting => None,
+        };
+        standing.or_else(out)
+    }
+
     /// The one place where a call is given back.
-    fn forget(&mut self, call: CallId) {
+    pub(super) fn forget(&mut self, call: CallId) {
         if self.live.remove(&call).is_some() {
             self.ended.add(call);
         }
@@ -271,7 +287,7 @@
     }
 
     /// Forgets a call of which nothing is left.
-    fn tidy(&mut self, id: CallId) {
+    pub(super) fn tidy(&mut self, id: CallId) {
         if self.calls.live.get(&id).is_some_and(|c| c.answered && c.attempt.is_none() && c.standing.is_none())
         {
             self.calls.forget(id);
@@ -376,7 +392,7 @@
     }
 
     /// The one place where an attempt that did not come to stand is given back.
-    fn end_attempt(&mut self, id: CallId, outcome: Outcome, report: LoadReport) {
+    pub(super) fn end_attempt(&mut self, id: CallId, outcome: Outcome, report: LoadReport) {
         let Some(call) = self.calls.live.get_mut(&id) else { return };
         let Some(attempt) = call.attempt.take() else { return };
         if matches!(outcome, Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled) {
@@ -387,7 +403,7 @@
         self.tidy(id);
     }
 
-    fn tell_ended(
+    pub(super) fn tell_ended(
         &mut self,
         call: CallId,
         server: ServerId,
@@ -397,107 +413,6 @@
     ) {
         self.news.push_back(module::Event::Ended { call, server, outcome, closed, report });
     }
-
-    // ---- what call servers say of calls ----
-
-    pub(super) fn answered_by(
-        &mut self,
-        server: ServerId,
-        conn: ServerConn,
-        id: CallId,
-        description: Option<String>,
-        out: &mut Vec<Effect>,
-    ) {
-        let call = self.calls.live.get_mut(&id);
-        if call.as_ref().and_then(|c| c.standing.as_ref()).is_some_and(|s| s.server == server) {
-            return;
-        }
-        let out_there = |a: &Attempt| a.server == server && matches!(a.stage, Stage::Out(_));
-        let call = call.filter(|c| !c.answered && c.attempt.as_ref().is_some_and(out_there));
-        let Some((call, description)) = call.zip(description) else {
-            // It crossed the call's end, or its description is missing: nobody will hear of it, so what
-            // stands there is released. An attempt being called off has its release on the way.
-            let stage = self.calls.live.get(&id).and_then(|c| c.attempt.as_ref()).map(|a| a.stage);
-            match stage {
-                Some(Stage::Out(_)) => self.end_out(id, Outcome::Reset, out),
-                Some(Stage::Ending(on, _)) if on == conn => {}
-                _ => self.release_at(server, Some(conn), id, out),
-            }
-            return;
-        };
-        let Some(attempt) = call.attempt.take() else { return };
-        call.answered = true;
-        call.standing = Some(Standing { server, conn, since: self.now });
-        // A standing call needs neither any more, and it may stand for long.
-        (call.description, call.number) = (String::new(), None);
-        let (caller, class) = (call.conn, call.class);
-        self.count(class, |o| &mut o.stood);
-        out.push(Effect::ToCaller { conn: caller, message: ToCaller::Answer { call: id, description } });
-        let after_ms = self.now - attempt.sent_at;
-        self.passed_on(server, conn, attempt.sent_at);
-        self.news.push_back(module::Event::Standing { call: id, server, after_ms });
-        self.close_if_done(caller, out);
-    }
-
-    pub(super) fn ended_by(
-        &mut self,
-        server: ServerId,
-        conn: ServerConn,
-        id: CallId,
-        how: Ending,
-        report: LoadReport,
-        out: &mut Vec<Effect>,
-    ) {
-        let Some(call) = self.calls.live.get_mut(&id) else {
-            // A call that stood before this program's start is over: its caller is to hear of it.
-            if !self.calls.ended.all.contains(&id) && matches!(how, Ending::Normal | Ending::Reset) {
-                let how = if how == Ending::Normal { Release::Completed } else { Release::Cut };
-                self.tell_any_caller(CallerConn(0), ToCaller::Released { call: id, how }, out);
-                out.push(Effect::ToServer { conn, message: ToServer::Heard(id), confirm: false });
-            }
-            return;
-        };
-        if call.standing.as_ref().is_some_and(|s| s.server == server) {
-            out.push(Effect::ToServer { conn, message: ToServer::Heard(id), confirm: false });
-            let normal = how == Ending::Normal;
-            return self.over(id, if normal { Release::Completed } else { Release::Cut }, report, out);
-        }
-        if call.attempt.as_ref().is_some_and(|a| a.server == server && matches!(a.stage, Stage::Out(_))) {
-            let outcome = match how {
-                Ending::Full { lines: true } => Outcome::NoLine,
-                Ending::Full { lines: false } => Outcome::ProcessorFull { wait_ms: None },
-                Ending::NotSent => Outcome::NotSent,
-                Ending::Reset => Outcome::Reset,
-                Ending::Error | Ending::Normal => Outcome::Fault,
-            };
-            let sent_at = call.attempt.as_ref().map_or(f64::NEG_INFINITY, |a| a.sent_at);
-            self.passed_on(server, conn, sent_at);
-            self.end_attempt(id, outcome, report);
-        }
-    }
-
-    /// A call that stood is over, by no wish of its caller: the caller is told.
-    fn over(&mut self, id: CallId, how: Release, report: LoadReport, out: &mut Vec<Effect>) {
-        let Some(call) = self.calls.live.get_mut(&id) else { return };
-        let Some(standing) = call.standing.take() else { return };
-        let conn = call.conn;
-        self.calls.forget(id);
-        self.tell_any_caller(conn, ToCaller::Released { call: id, how }, out);
-        let outcome = if how == Release::Completed { Outcome::Completed } else { Outcome::Reset };
-        self.tell_ended(id, standing.server, outcome, true, report);
-    }
-
-    /// The call server's process is gone, and what stood there before with it.
-    pub(super) fn cut(&mut self, server: ServerId, before: f64, out: &mut Vec<Effect>) {
-        let stood = |c: &Call| c.standing.as_ref().is_some_and(|s| s.server == server && s.since < before);
-        let cut = self.calls.ids(stood);
-        if !cut.is_empty() {
-            log::info!("{} calls cut at {}", cut.len(), self.fleet.name(server));
-        }
-        for id in cut {
-            self.over(id, Release::Cut, LoadReport::default(), out);
-        }
-    }
 }
 
 impl Attempt {
--- a/src/engine/fleet.rs
+++ b/src/engine/fleet.rs
@@ -5,65 +5,55 @@
 use std::collections::{BTreeMap, HashMap};
 
 /// Connections to one call server at most; the protocol's figure.
-const CONNS_MAX: usize = 4;
+pub(super) const CONNS_MAX: usize = 4;
 /// One that could not be reached is tried again after this, ms.
 const REDIAL_MS: f64 = 300.0;
-/// A call server tells its state about once a second while calls come and go. One that has work of ours and
-/// says nothing for so long is looked at: a new connection shows whether it lives, ms.
-const SILENT_MS: f64 = 2500.0;
-/// One that has said nothing for so long and takes no connection is sent nothing on the old ones, ms: what would
-/// be lost there fails at once on a new one.
-const UNHEARD_MS: f64 = 4000.0;
-/// Its calls are held to be cut only so long after its last word, ms: one that drains may take no connection and
-/// say nothing while they still stand. With the look's interval that stays under the 8 s in which callers must
-/// hear of an end that nobody told.
-const CUT_MS: f64 = 7000.0;
-/// A call server tells its state at once on a new connection; after this one is as good as not come up, ms.
-const MUTE_MS: f64 = 750.0;
-/// A connection on which a set-up waits and nothing was heard for so long is doubted, ms: another is opened.
-const DOUBT_MS: f64 = 300.0;
-/// If set-ups sent so much later elsewhere at that call server are answered, the doubted one is of no use, ms: its
-/// line is first come, first served, and journeys differ by less.
-const OVERTAKEN_MS: f64 = 300.0;
-/// A state is told on all open connections at once: one that lags so far behind has missed it, ms.
-const TOLD_TOGETHER_MS: f64 = 100.0;
 /// Releases kept for a call server that has no connection open.
 const OWED_MAX: usize = 4096;
 
-struct Conn {
-    id: ServerConn,
-    open: bool,
-    opened_at: f64,
+pub(super) struct Conn {
+    pub(super) id: ServerConn,
+    pub(super) open: bool,
+    pub(super) opened_at: f64,
     /// Whether anything was heard on it yet, and when that was or, before, when it opened.
-    heard: bool,
-    heard_at: f64,
+    pub(super) heard: bool,
+    /// The last word was the first.
+    pub(super) heard_first: bool,
+    pub(super) heard_at: f64,
     /// When the latest of the set-ups that were answered on it had been sent.
-    passed: f64,
+    pub(super) passed: f64,
     /// When a state was last told on it.
-    told_at: f64,
+    pub(super) told_at: f64,
+    /// It had this turn among the set-ups.
+    pub(super) turn: u64,
 }
 
-struct Server {
-    listing: Listing,
-    conns: Vec<Conn>,
+pub(super) struct Server {
+    pub(super) listing: Listing,
+    pub(super) conns: Vec<Conn>,
     /// When it last said anything on any connection.
-    heard_at: f64,
+    pub(super) heard_at: f64,
     /// It has told its state, or could not be reached, since it was listed.
-    tried: bool,
+    pub(super) tried: bool,
     /// Connections that did not come up since it last said anything.
-    failed: u32,
+    pub(super) failed: u32,
+    /// When a set-up last went there, and when a connection was last asked for.
+    pub(super) used_at: f64,
+    pub(super) dialled_at: f64,
     /// Releases that wait for a connection.
-    owed: Vec<CallId>,
+    pub(super) owed: Vec<CallId>,
 }
 
 #[derive(Default)]
 pub(super) struct Fleet {
-    serial: Option<u32>,
-    ids: HashMap<String, ServerId>,
-    named: u64,
-    servers: BTreeMap<ServerId, Server>,
-    by_conn: HashMap<ServerConn, ServerId>,
-    dialled: u64,
+    pub(super) serial: Option<u32>,
+    pub(super) ids: HashMap<String, ServerId>,
+    pub(super) named: u64,
+    pub(super) servers: BTreeMap<ServerId, Server>,
+    pub(super) by_conn: HashMap<ServerConn, ServerId>,
+    pub(super) dialled: u64,
+    /// Connections closed from here on which something may still come.
+    pub(super) closing: HashMap<ServerConn, ServerId>,
 }
 
 impl Fleet {
@@ -102,19 +92,19 @@
     }
 
     /// The open connection on which something was heard last.
-    fn best(&self, server: ServerId) -> Option<ServerConn> {
+    pub(super) fn best(&self, server: ServerId) -> Option<ServerConn> {
         let open = self.servers.get(&server)?.conns.iter().filter(|c| c.open);
         open.max_by(|a, b| a.heard.cmp(&b.heard).then(a.heard_at.total_cmp(&b.heard_at))).map(|c| c.id)
     }
 
-    fn is_open(&self, conn: ServerConn) -> bool {
+    pub(super) fn is_open(&self, conn: ServerConn) -> bool {
         let server = self.by_conn.get(&conn).and_then(|id| self.servers.get(id));
         server.is_some_and(|s| s.conns.iter().any(|c| c.id == conn && c.open))
     }
 }
 
 impl Server {
-    fn dialling(&self) -> bool {
+    pub(super) fn dialling(&self) -> bool {
         self.conns.iter().any(|c| !c.open)
     }
 }
@@ -160,6 +150,8 @@
                 heard_at: now,
                 tried: false,
                 failed: 0,
+                used_at: f64::NEG_INFINITY,
+                dialled_at: now,
                 owed: Vec::new(),
             };
             self.fleet.servers.insert(id, server);
@@ -195,14 +187,14 @@
 
     /// An open connection; if there is none, one is on its way.
     pub(super) fn connection_to(&mut self, server: ServerId, out: &mut Vec<Effect>) -> Option<ServerConn> {
-        let best = self.fleet.best(server);
-        if best.is_none() && self.fleet.servers.get(&server).is_some_and(|s| !s.dialling()) {
+        let conn = self.in_turn(server);
+        if conn.is_none() && self.fleet.servers.get(&server).is_some_and(|s| !s.dialling()) {
             self.dial(server, out);
         }
-        best
+        conn
     }
 
-    fn dial(&mut self, server: ServerId, out: &mut Vec<Effect>) {
+    pub(super) fn dial(&mut self, server: ServerId, out: &mut Vec<Effect>) {
         let Some(s) = self.fleet.servers.get_mut(&server).filter(|s| s.conns.len() < CONNS_MAX) else {
             return;
         };
@@ -214,17 +206,20 @@
             open: false,
             opened_at: now,
             heard: false,
+            heard_first: false,
             heard_at: now,
             passed,
             told_at: passed,
+            turn: 0,
         };
+        s.dialled_at = now;
         s.conns.push(new);
         self.fleet.by_conn.insert(conn, server);
         out.push(Effect::Dial { conn, addr: s.listing.addr, timeout_ms: self.host.dial_timeout_ms });
     }
 
     pub(super) fn redial(&mut self, server: ServerId, out: &mut Vec<Effect>) {
-        if self.fleet.servers.get(&server).is_some_and(|s| s.conns.is_empty()) {
+        if self.fleet.servers.get(&server).is_some_and(|s| !s.dialling()) {
             self.dial(server, out);
         }
     }
@@ -242,6 +237,7 @@
     }
 
     pub(super) fn server_lost(&mut self, conn: ServerConn, how: Lost, out: &mut Vec<Effect>) {
+        self.fleet.closing.remove(&conn);
         let Some((server, lived_ms)) = self.drop_conn(conn) else { return };
         let Some(s) = self.fleet.servers.get_mut(&server) else { return };
         let alone = s.conns.is_empty();
@@ -265,8 +261,9 @@
             // What ended meanwhile, and what was told on the lost connection and never heard, is told on the next
             // connection, also if others are open; refused, it shows that the process died.
             self.dial(server, out);
-        } else if alone {
-            // One that closes every connection at once is not to be dialled in a tight loop.
+        } else {
+            // One that closes every connection at once is not to be dialled in a tight loop. What was told on this
+            // one comes again on the next, so there is to be one, also if others are open.
             self.timers.set(self.now + REDIAL_MS, Due::Redial(server));
         }
     }
@@ -285,13 +282,14 @@
         Some((server, lived_ms))
     }
 
-    fn close(&mut self, conn: ServerConn, out: &mut Vec<Effect>) {
-        if self.drop_conn(conn).is_some() {
+    pub(super) fn close(&mut self, conn: ServerConn, out: &mut Vec<Effect>) {
+        if let Some((server, _)) = self.drop_conn(conn) {
+            self.fleet.closing.insert(conn, server);
             out.push(Effect::CloseServer(conn));
         }
     }
 
-    fn close_all(&mut self, server: ServerId, out: &mut Vec<Effect>) {
+    pub(super) fn close_all(&mut self, server: ServerId, out: &mut Vec<Effect>) {
         let Some(s) = self.fleet.servers.get(&server) else { return };
         for conn in s.conns.iter().map(|c| c.id).collect::<Vec<_>>() {
             self.close(conn, out);
@@ -301,18 +299,29 @@
     // ---- what call servers say ----
 
     pub(super) fn hear_server(&mut self, conn: ServerConn, message: FromServer, out: &mut Vec<Effect>) {
-        let Some(&server) = self.fleet.by_conn.get(&conn) else { return };
+        let Some(&server) = self.fleet.by_conn.get(&conn) else {
+            return self.hear_last(conn, message, out);
+        };
         let now = self.now;
         log::trace!("{} on connection {}: {message:?}", self.fleet.name(server), conn.0);
         if let Some(s) = self.fleet.servers.get_mut(&server) {
             (s.heard_at, s.tried, s.failed) = (now, true, 0);
-            s.conns.iter_mut().filter(|c| c.id == conn).for_each(|c| (c.heard, c.heard_at) = (true, now));
+            for c in s.conns.iter_mut().filter(|c| c.id == conn) {
+                (c.heard_first, c.heard, c.heard_at) = (!c.heard, true, now);
+            }
         }
         match message {
             FromServer::Answer { call, description } => {
-                self.answered_by(server, conn, call, description, out)
+                let own = self.calls.set_up_on(call, server);
+                self.answered_by(server, conn, call, description, out);
+                self.told_elsewhere(server, conn, own, out);
+                self.look_at_stuck(server, out);
+            }
+            FromServer::Ended { call, how, report } => {
+                let own = self.calls.set_up_on(call, server);
+                self.ended_by(server, conn, call, how, report, out);
+                self.told_elsewhere(server, conn, own, out);
             }
-            FromServer::Ended { call, how, report } => self.ended_by(server, conn, call, how, report, out),
             FromServer::State(report) => {
                 self.news.push_back(module::Event::Lines { server, report });
                 self.close_mute(server, conn, out);
@@ -321,6 +330,23 @@
         }
     }
 
+    /// What was on its way when its connection was closed from here: an end that was told there is told nowhere else.
+    fn hear_last(&mut self, conn: ServerConn, message: FromServer, out: &mut Vec<Effect>) {
+        let Some(&server) = self.fleet.closing.get(&conn) else { return };
+        log::trace!("{} on connection {}, closed: {message:?}", self.fleet.name(server), conn.0);
+        match message {
+            // Set-ups were given up with the connection: such a call may be out there again, and this says nothing of
+            // that. Otherwise what had come to stand is released.
+            FromServer::Answer { call, .. } | FromServer::Ended { call, .. }
+                if self.calls.is_out_at(call, server) => {}
+            FromServer::Ended { call, how, report } => self.ended_by(server, conn, call, how, report, out),
+            FromServer::Answer { call, description } => {
+                self.answered_by(server, conn, call, description, out)
+            }
+            FromServer::State(_) | FromServer::Sign => {}
+        }
+    }
+
     /// Releases a call at a call server: on this connection, else on any, else on the next.
     pub(super) fn release_at(
         &mut self,
@@ -353,85 +379,6 @@
         let conns = self.fleet.servers.get_mut(&server).into_iter().flat_map(|s| &mut s.conns);
         conns.filter(|c| c.id == conn).for_each(|c| c.passed = c.passed.max(sent_at));
     }
-
-    // ---- liveness ----
-
-    pub(super) fn look(&mut self, out: &mut Vec<Effect>) {
-        for server in self.fleet.servers.keys().copied().collect::<Vec<_>>() {
-            self.look_at_stuck(server, out);
-            self.look_at(server, out);
-        }
-    }
-
-    /// Closes connections that missed what this one was told a round ago: whatever is said there is lost. What was
-    /// said already, such as releases of standing calls, comes again on the next connection: so one is opened.
-    fn close_mute(&mut self, server: ServerId, conn: ServerConn, out: &mut Vec<Effect>) {
-        let Some(s) = self.fleet.servers.get_mut(&server) else { return };
-        let Some(c) = s.conns.iter_mut().find(|c| c.id == conn) else { return };
-        let told = std::mem::replace(&mut c.told_at, self.now) - TOLD_TOGETHER_MS;
-        let mute = |c: &&Conn| c.open && c.id != conn && c.opened_at < told && c.heard_at < told;
-        for mute in s.conns.iter().filter(mute).map(|c| c.id).collect::<Vec<_>>() {
-            log::info!("connection {} to {} has fallen mute", mute.0, self.fleet.name(server));
-            self.close(mute, out);
-            self.dial(server, out);
-        }
-    }
-
-    /// After an answer that never came, or came spoilt without showing it, a connection stays open and carries
-    /// nothing more. Silence alone may be a long line; that others overtake it is none.
-    fn look_at_stuck(&mut self, server: ServerId, out: &mut Vec<Effect>) {
-        let Some(s) = self.fleet.servers.get(&server) else { return };
-        let doubted = s.conns.iter().filter(|c| c.open && self.now - c.heard_at >= DOUBT_MS);
-        let waits = doubted.filter_map(|c| Some((c, self.calls.oldest_on(c.id)?)));
-        let waits: Vec<_> = waits.filter(|&(_, sent_at)| self.now - sent_at >= DOUBT_MS).collect();
-        let stuck = waits.iter().find(|&&(c, sent_at)| {
-            s.conns.iter().any(|other| other.id != c.id && other.passed >= sent_at + OVERTAKEN_MS)
-        });
-        let another = s.dialling() || s.conns.iter().any(|c| c.open && self.now - c.heard_at < DOUBT_MS);
-        if let Some(conn) = stuck.map(|(c, _)| c.id) {
-            log::info!("connection {} to {} carries nothing more", conn.0, s.listing.name);
-            self.close(conn, out);
-            self.dial(server, out);
-        } else if !waits.is_empty() && !another && s.conns.len() < CONNS_MAX - 1 {
-            self.dial(server, out);
-        }
-    }
-
-    /// A machine that vanished says nothing and keeps its connections open: it shows only in that no new one
-    /// comes up. One that lives tells its state first of all on a new one.
-    fn look_at(&mut self, server: ServerId, out: &mut Vec<Effect>) {
-        let Some(s) = self.fleet.servers.get(&server) else { return };
-        let silent_ms = self.now - s.heard_at;
-        // The system may take a connection that nobody behind it answers.
-        let mute = |c: &Conn| c.open && !c.heard && self.now - c.heard_at >= MUTE_MS;
-        let unreachable = s.failed > 0 || s.conns.iter().any(mute);
-        let open = s.conns.iter().any(|c| c.open);
-        if silent_ms < SILENT_MS {
-            // Alive: the connection heard longest ago makes room for the next look. Not sooner: one that is
-            // just quiet may still carry a release.
-            let oldest = s.conns.iter().filter(|c| c.open).min_by(|a, b| a.heard_at.total_cmp(&b.heard_at));
-            let stale =
-                oldest.filter(|c| s.conns.len() >= CONNS_MAX - 1 && self.now - c.heard_at >= UNHEARD_MS);
-            if let Some(conn) = stale.map(|c| c.id).filter(|&conn| !self.calls.any_on(conn)) {
-                self.close(conn, out);
-            }
-        } else if !self.calls.any_at(server) {
-            // Nothing of ours is there: its silence says nothing, and may be just quiet.
-        } else if silent_ms >= CUT_MS && unreachable {
-            // Once given up, it is only dialled again and again: no more than that is to be closed.
-            if open || self.calls.any_standing_at(server) {
-                log::warn!("{} has vanished: silent for {silent_ms:.0} ms", s.listing.name);
-                self.cut(server, f64::INFINITY, out);
-                self.close_all(server, out);
-                self.redial(server, out);
-            }
-        } else if silent_ms >= UNHEARD_MS && unreachable && open && s.listing.state == Listed::Ready {
-            self.close_all(server, out);
-            self.redial(server, out);
-        } else if !s.dialling() {
-            self.dial(server, out);
-        }
-    }
 }
 
 fn describe(listings: &[Listing]) -> String {
--- /dev/null
+++ b/src/engine/liveness.rs
@@ -0,0 +1,165 @@
+//! Which connections to call servers still carry anything, and which call servers live.
+
+use super::fleet::{CONNS_MAX, Conn};
+use super::{Effect, Engine, ServerConn};
+use crate::interface::{Listed, ServerId};
+
+/// A call server tells its state about once a second while calls come and go. One that has work of ours and
+/// says nothing for so long is looked at: a new connection shows whether it lives, ms.
+const SILENT_MS: f64 = 2500.0;
+/// One that has said nothing for so long and takes no connection is sent nothing on the old ones, ms: what would
+/// be lost there fails at once on a new one.
+const UNHEARD_MS: f64 = 4000.0;
+/// Its calls are held to be cut only so long after its last word, ms: one that drains may take no connection and
+/// say nothing while they still stand. With the look's interval that stays under the 8 s in which callers must
+/// hear of an end that nobody told.
+const CUT_MS: f64 = 7000.0;
+/// A call server tells its state at once on a new connection; after this one is as good as not come up, ms.
+const MUTE_MS: f64 = 750.0;
+/// A connection on which a set-up waits and nothing was heard for so long is doubted, ms: another is opened.
+const DOUBT_MS: f64 = 150.0;
+/// If set-ups sent so much later elsewhere at that call server are answered, the doubted one is of no use, ms: its
+/// line is first come, first served, and journeys differ by less.
+const OVERTAKEN_MS: f64 = 150.0;
+/// A state is told on all open connections at once: one that lags so far behind has missed it, ms.
+const TOLD_TOGETHER_MS: f64 = 100.0;
+/// On a connection that opened so long ago nothing comes that was told on an older one before, ms.
+const SETTLED_MS: f64 = 300.0;
+/// A call server to which a set-up went so lately is in use, and has a second connection, looked for so often, ms.
+const IN_USE_MS: f64 = 2000.0;
+const SPARE_MS: f64 = 1000.0;
+
+impl Engine {
+    pub(super) fn look(&mut self, out: &mut Vec<Effect>) {
+        for server in self.fleet.servers.keys().copied().collect::<Vec<_>>() {
+            self.look_at_stuck(server, out);
+            self.look_at(server, out);
+            self.look_for_spare(server, out);
+        }
+    }
+
+    /// Closes connections that missed what this one was told a round ago: whatever is said there is lost. What was
+    /// said already, such as releases of standing calls, comes again on the next connection: so one is opened.
+    pub(super) fn close_mute(&mut self, server: ServerId, conn: ServerConn, out: &mut Vec<Effect>) {
+        let Some(s) = self.fleet.servers.get_mut(&server) else { return };
+        let Some(c) = s.conns.iter_mut().find(|c| c.id == conn) else { return };
+        // The first state on a connection is told there alone.
+        if c.heard_first {
+            return;
+        }
+        let told = std::mem::replace(&mut c.told_at, self.now) - TOLD_TOGETHER_MS;
+        let mute = |c: &&Conn| c.open && c.id != conn && c.opened_at < told && c.heard_at < told;
+        for mute in s.conns.iter().filter(mute).map(|c| c.id).collect::<Vec<_>>() {
+            log::info!("connection {} to {} has fallen mute", mute.0, self.fleet.name(server));
+            self.close(mute, out);
+            self.dial(server, out);
+        }
+    }
+
+    /// After an answer that never came, or came spoilt without showing it, a connection stays open and carries
+    /// nothing more. Silence alone may be a long line; that others overtake it is none.
+    pub(super) fn look_at_stuck(&mut self, server: ServerId, out: &mut Vec<Effect>) {
+        let Some(s) = self.fleet.servers.get(&server) else { return };
+        let doubted = s.conns.iter().filter(|c| c.open && self.now - c.heard_at >= DOUBT_MS);
+        let waits = doubted.filter_map(|c| Some((c, self.calls.oldest_on(c.id)?)));
+        let waits: Vec<_> = waits.filter(|&(_, sent_at)| self.now - sent_at >= DOUBT_MS).collect();
+        let stuck = waits.iter().find(|&&(c, sent_at)| {
+            s.conns.iter().any(|other| other.id != c.id && other.passed >= sent_at + OVERTAKEN_MS)
+        });
+        let another = s.dialling() || s.conns.iter().any(|c| c.open && self.now - c.heard_at < DOUBT_MS);
+        if let Some(conn) = stuck.map(|(c, _)| c.id) {
+            log::info!("connection {} to {} carries nothing more", conn.0, s.listing.name);
+            self.close(conn, out);
+            self.dial(server, out);
+        } else if !waits.is_empty() && !another && s.conns.len() < CONNS_MAX - 1 {
+            self.dial(server, out);
+        }
+    }
+
+    /// A machine that vanished says nothing and keeps its connections open: it shows only in that no new one
+    /// comes up. One that lives tells its state first of all on a new one.
+    fn look_at(&mut self, server: ServerId, out: &mut Vec<Effect>) {
+        let Some(s) = self.fleet.servers.get(&server) else { return };
+        let silent_ms = self.now - s.heard_at;
+        // The system may take a connection that nobody behind it answers.
+        let mute = |c: &Conn| c.open && !c.heard && self.now - c.heard_at >= MUTE_MS;
+        let unreachable = s.failed > 0 || s.conns.iter().any(mute);
+        let open = s.conns.iter().any(|c| c.open);
+        if silent_ms < SILENT_MS {
+            // Alive: the connection heard longest ago makes room for the next look. Not sooner: one that is
+            // just quiet may still carry a release.
+            let oldest = s.conns.iter().filter(|c| c.open).min_by(|a, b| a.heard_at.total_cmp(&b.heard_at));
+            let stale =
+                oldest.filter(|c| s.conns.len() >= CONNS_MAX - 1 && self.now - c.heard_at >= UNHEARD_MS);
+            if let Some(conn) = stale.map(|c| c.id).filter(|&conn| !self.calls.any_on(conn)) {
+                self.close(conn, out);
+            }
+        } else if !self.calls.any_at(server) {
+            // Nothing of ours is there: its silence says nothing, and may be just quiet.
+        } else if silent_ms >= CUT_MS && unreachable {
+            // Once given up, it is only dialled again and again: no more than that is to be closed.
+            if open || self.calls.any_standing_at(server) {
+                log::warn!("{} has vanished: silent for {silent_ms:.0} ms", s.listing.name);
+                self.cut(server, f64::INFINITY, out);
+                self.close_all(server, out);
+                self.redial(server, out);
+            }
+        } else if silent_ms >= UNHEARD_MS && unreachable && open && s.listing.state == Listed::Ready {
+            self.close_all(server, out);
+            self.redial(server, out);
+        } else if !s.dialling() {
+            self.dial(server, out);
+        }
+    }
+
+    /// A second connection to a call server in use: set-ups take turns on the two, so that the answers on one soon show
+    /// that the other carries nothing more, and half of the calls are not touched by it.
+    fn look_for_spare(&mut self, server: ServerId, out: &mut Vec<Effect>) {
+        let Some(s) = self.fleet.servers.get(&server) else { return };
+        let alone = s.conns.len() == 1 && s.conns.iter().all(|c| c.open && c.heard);
+        let in_use = s.listing.state == Listed::Ready && self.now - s.used_at < IN_USE_MS;
+        if alone && in_use && self.now - s.dialled_at >= SPARE_MS {
+            self.dial(server, out);
+        }
+    }
+
+    /// A set-up has waited on it in silence.
+    fn quiet(&self, c: &Conn) -> bool {
+        let waits = |at: f64| self.now - at >= DOUBT_MS;
+        waits(c.heard_at) && self.calls.oldest_on(c.id).is_some_and(waits)
+    }
+
+    /// The connection for the next set-up: those on which something was heard take turns. One that is quiet comes last.
+    pub(super) fn in_turn(&mut self, server: ServerId) -> Option<ServerConn> {
+        let s = self.fleet.servers.get(&server)?;
+        let sound = s.conns.iter().filter(|c| c.open && c.heard && !self.quiet(c));
+        let conn = sound.min_by_key(|c| c.turn).map(|c| c.id).or_else(|| self.fleet.best(server))?;
+        let (now, s) = (self.now, self.fleet.servers.get_mut(&server)?);
+        let last = s.conns.iter().map(|c| c.turn).max().unwrap_or(0);
+        s.conns.iter_mut().filter(|c| c.id == conn).for_each(|c| c.turn = last + 1);
+        s.used_at = now;
+        Some(conn)
+    }
+
+    /// What concerns a call comes on the connection of its set-up if that is of any use to the call server: it came on
+    /// another, so the first is of none. Just after the other opened, what was told on the first may be on its way.
+    pub(super) fn told_elsewhere(
+        &mut self,
+        server: ServerId,
+        conn: ServerConn,
+        own: Option<ServerConn>,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(s) = self.fleet.servers.get(&server) else { return };
+        let find = |id: ServerConn| s.conns.iter().find(|c| c.id == id && c.open);
+        let Some((own, other)) = own.filter(|&own| own != conn).and_then(find).zip(find(conn)) else {
+            return;
+        };
+        if self.now - own.heard_at >= TOLD_TOGETHER_MS && self.now - other.opened_at >= SETTLED_MS {
+            let own = own.id;
+            log::info!("connection {} to {} is passed over", own.0, s.listing.name);
+            self.close(own, out);
+            self.dial(server, out);
+        }
+    }
+}
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -4,9 +4,11 @@
 //! module decides becomes effects here, and here alone the rules that hold on sockets are guarded: one final
 //! answer, one attempt at a time, nothing new to a call server that drains, the release guard.
 
+mod answers;
 mod callers;
 mod calls;
 mod fleet;
+mod liveness;
 mod messages;
 mod operators;
 mod timers;
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -205,6 +205,7 @@
     }
 
     fn perform(&mut self, effect: Effect) {
+        log::trace!("{effect:?}");
         match effect {
             Effect::ToCaller { conn, message } => {
                 let full = self.callers.get(&conn).is_some_and(|queue| queue.try_send(message).is_err());
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -11,6 +11,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
@@ -24,6 +25,8 @@
 
 /// How often half a line is looked for: the calls on that connection wait for answers that will not come.
 const HALF_LOOK: Duration = Duration::from_millis(200);
+/// A call server closes its side of a closed connection within this, or is not waited for.
+const LINGER: Duration = Duration::from_millis(300);
 
 /// Frames and reads call servers' lines.
 pub struct Codec(LinesCodec);
@@ -179,7 +182,10 @@
     loop {
         let result = tokio::select! {
             order = queue.recv() => {
-                let Some(order) = order else { return Lost::Closed };
+                let Some(order) = order else {
+                    read_out(framed, conn, events).await;
+                    return Lost::Closed;
+                };
                 let mut batch = vec![order];
                 while let Ok(order) = queue.try_recv() {
                     batch.push(order);
@@ -210,6 +216,21 @@
     }
 }
 
+/// Closed from here: what the call server had said by then is still heard, as it is told nowhere else.
+async fn read_out(mut framed: Framed<TcpStream, Codec>, conn: ServerConn, events: &mpsc::Sender<Event>) {
+    if framed.get_mut().shutdown().await.is_err() {
+        return;
+    }
+    let rest = async {
+        while let Some(Ok(message)) = framed.next().await {
+            if events.send(Event::Server { conn, message }).await.is_err() {
+                break;
+            }
+        }
+    };
+    let _ = timeout(LINGER, rest).await;
+}
+
 async fn write(framed: &mut Framed<TcpStream, Codec>, batch: &[Order]) -> io::Result<()> {
     for (message, _) in batch {
         framed.feed(message).await?;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -545,13 +545,15 @@
         report: &LoadReport,
         out: &mut Vec<Action>,
     ) {
-        let setting_up = self.calls.get(&call).is_some_and(|live| live.out.is_some());
+        let sent = self.calls.get(&call).and_then(|live| live.out.as_ref()).map(|a| a.sent);
         let first = self.calls.get(&call).is_some_and(|live| live.faulted.is_none());
         let Some(s) = self.servers.get_mut(&id) else { return };
         s.forget(now, call, matches!(outcome, Outcome::TimedOut | Outcome::Cancelled));
         match outcome {
-            Outcome::NotConnected | Outcome::Reset if setting_up => s.failures += MANY_FAILURES,
-            Outcome::Fault if setting_up && first => s.failures += 1,
+            // If one sent later was answered, its connection broke, and the server lives.
+            Outcome::Reset if sent.is_some_and(|at| at <= s.passed) => {}
+            Outcome::NotConnected | Outcome::Reset if sent.is_some() => s.failures += MANY_FAILURES,
+            Outcome::Fault if sent.is_some() && first => s.failures += 1,
             Outcome::Completed => s.heard(now),
             Outcome::NoLine => {
                 s.heard(now);
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -138,6 +138,39 @@
     caller.expect(12, 7, Some(16));
 }
 
+/// A call server in use gets a second connection, and set-ups take turns. A call that ends on another connection than
+/// its own shows that its own is of no use: that is closed. The call stood and is over, its answer lost: its caller is
+/// told at once. What had been said on the closed connection by then is heard still.
+#[test]
+fn what_is_told_elsewhere_shows_a_dead_connection() {
+    let (a, _b, _program, _names, mut la, _lb, mut caller) = two();
+    stand(&mut caller, &mut la, 7);
+    let mut next = a.accept();
+    for call in 100.. {
+        caller.set_up(call, 0, 9000);
+        let second = next.speaks_before(&mut la);
+        let link = if second { &mut next } else { &mut la };
+        link.expect("new", call);
+        link.up(call);
+        caller.expect(9, call, None);
+        if second {
+            break;
+        }
+    }
+    // Its turn again; for a while what is told there may just be late.
+    caller.set_up(8, 0, 9000);
+    la.expect("new", 8);
+    std::thread::sleep(Duration::from_millis(350));
+    let since = Instant::now();
+    next.down(8, 16, json!({}));
+    caller.expect(12, 8, Some(41));
+    assert!(since.elapsed() < Duration::from_millis(500), "{:?}", since.elapsed());
+    assert_eq!(la.hear(), None);
+    a.accept();
+    la.down(7, 16, json!({}));
+    caller.expect(12, 7, Some(16));
+}
+
 /// A connection is lost while another is open: what was said on it may be lost too, and comes on the next.
 #[test]
 fn a_lost_connection_is_replaced_though_another_is_open() {
--- a/tests/process/rig.rs
+++ b/tests/process/rig.rs
@@ -218,6 +218,24 @@
         open
     }
 
+    /// Waits until something has come on one of two connections: true if it was on this one.
+    pub fn speaks_before(&mut self, other: &mut Link) -> bool {
+        let since = Instant::now();
+        loop {
+            for (link, own) in [(&*self, true), (&*other, false)] {
+                let stream = link.lines.get_ref();
+                stream.set_nonblocking(true).unwrap();
+                let came = stream.peek(&mut [0]).is_ok_and(|n| n > 0) || !link.lines.buffer().is_empty();
+                stream.set_nonblocking(false).unwrap();
+                if came {
+                    return own;
+                }
+            }
+            assert!(since.elapsed() < PATIENCE, "the program says nothing");
+            std::thread::sleep(Duration::from_millis(2));
+        }
+    }
+
     /// Waits until something has come, and leaves it unread.
     pub fn peek(&mut self) {
         assert!(self.lines.get_ref().peek(&mut [0]).unwrap() > 0);
