Keep callers' connections in a crowd, and tell ends of calls only where calls were brought

The trace shows a caller's connection with five standing calls closed to make room (make_room: the quietest that had asked), and its calls' ends told on connections of the crowd that only sent a test (tell_any_caller: the one heard last). None of those was said to be heard. Ruled out: the planned restart, which came later; a late release by the engine, which told within 1 ms.

Now room is made among the kind there are more of, silent or asking; connections that brought calls go last, and only they count for ends. Releases for nobody wait for the next set-up. Half a message may take 2.3 s, as some write over 2 s.

--- a/src/engine/callers.rs
+++ b/src/engine/callers.rs
@@ -6,8 +6,9 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// A connection that has asked nothing whole for so long is closed, ms. Who connects and says nothing, or half a
-/// message, takes a descriptor from callers that have something to say; 3 s is the most such a client is owed.
-const SILENT_MS: f64 = 2000.0;
+/// message, takes a descriptor from callers that have something to say; 3 s is the most such a client is owed. Not much
+/// sooner: some write a set-up over two seconds.
+const SILENT_MS: f64 = 2700.0;
 /// So many messages that can't be taken up, and the connection is closed: one that repeats them at full speed
 /// would take the program's time from all others. Callers in good order send none.
 const FAULTS_MAX: u32 = 16;
@@ -19,23 +20,36 @@
 const CROSSING_MS: f64 = 250.0;
 /// Releases kept for callers that have no connection open.
 const OWED_MAX: usize = 4096;
+/// Each goes out on so many connections that may be callers' or not, until one says that it heard it: a crowd's are not
+/// to have them all.
+const COPIES_MAX: u8 = 3;
 
 struct Conn {
     /// The caller may send more on it.
     open: bool,
     /// It has sent a whole message.
     asked: bool,
+    /// It has brought a set-up that was taken: whoever holds it has calls, and hears of their ends.
+    calls: bool,
     opened_at: f64,
     heard_at: f64,
     faults: u32,
     passed_on: u32,
 }
 
+/// A release that no caller's connection could take.
+struct Owed {
+    call: CallId,
+    how: Release,
+    /// Connections on which it went out nevertheless.
+    copies: u8,
+}
+
 #[derive(Default)]
 pub(super) struct Callers {
     conns: BTreeMap<CallerConn, Conn>,
-    /// Releases that no connection could take.
-    owed: VecDeque<ToCaller>,
+    /// Releases that no caller was there for.
+    owed: VecDeque<Owed>,
     /// Releases that went out a moment ago and were not said to be heard, oldest first.
     released: VecDeque<(f64, CallerConn, CallId, Release)>,
 }
@@ -49,26 +63,43 @@
 impl Engine {
     pub(super) fn caller_opened(&mut self, conn: CallerConn, out: &mut Vec<Effect>) {
         let (opened_at, heard_at) = (self.now, self.now);
-        let new = Conn { open: true, asked: false, opened_at, heard_at, faults: 0, passed_on: 0 };
+        let new =
+            Conn { open: true, asked: false, calls: false, opened_at, heard_at, faults: 0, passed_on: 0 };
         self.callers.conns.insert(conn, new);
         self.timers.set(self.now + SILENT_MS, Due::CallerSilent(conn));
-        // Releases that found no connection have waited for this one.
-        for message in std::mem::take(&mut self.callers.owed) {
-            self.tell_any_caller(conn, message, out);
+        // Releases that found no caller have waited for this one. Whether it is a caller only a set-up shows.
+        for owed in self.callers.owed.iter_mut().filter(|o| o.copies < COPIES_MAX) {
+            owed.copies += 1;
+            out.push(Effect::ToCaller {
+                conn,
+                message: ToCaller::Released { call: owed.call, how: owed.how },
+            });
         }
         if self.callers.conns.len() > self.host.callers_max {
             self.make_room(conn, out);
         }
     }
 
-    /// Too many connections: the one that has been quiet longest goes, first of all one that never asked. None
-    /// with a set-up open on it does, and not the new one.
+    /// Too many connections: one goes that brought no call yet, of those that said nothing and those that did the kind
+    /// there are more of, as that is the crowd; then callers', those with a call that stands last, as its end is to be
+    /// told there. Of equals it is the one that has been quiet longest. None with a set-up open on it goes, and not the
+    /// new one.
     fn make_room(&mut self, new: CallerConn, out: &mut Vec<Effect>) {
         let busy: BTreeSet<CallerConn> = self.calls.waiting_on().collect();
+        let standing: BTreeSet<CallerConn> = self.calls.standing_on().collect();
         let idle = self.callers.conns.iter().filter(|(id, _)| **id != new && !busy.contains(id));
-        let oldest =
-            idle.min_by(|(_, a), (_, b)| a.asked.cmp(&b.asked).then(a.heard_at.total_cmp(&b.heard_at)));
-        if let Some(conn) = oldest.map(|(&id, _)| id) {
+        let idle: Vec<(CallerConn, &Conn)> = idle.map(|(&id, c)| (id, c)).collect();
+        let silent = idle.iter().filter(|(_, c)| !c.calls && !c.asked).count();
+        let asked = idle.iter().filter(|(_, c)| !c.calls && c.asked).count();
+        let worth = |id: CallerConn, c: &Conn| match c {
+            Conn { calls: true, .. } => 2 + u8::from(standing.contains(&id)),
+            Conn { asked: true, .. } => u8::from(silent >= asked),
+            Conn { .. } => u8::from(silent < asked),
+        };
+        let first = idle
+            .iter()
+            .min_by(|(i, a), (j, b)| worth(*i, a).cmp(&worth(*j, b)).then(a.heard_at.total_cmp(&b.heard_at)));
+        if let Some(conn) = first.map(|&(id, _)| id) {
             self.close_caller(conn, out);
         }
     }
@@ -128,35 +159,48 @@
         }
     }
 
-    /// On the connection of the set-up, else on any that has asked something; else on the next that opens.
+    /// On the connection of the set-up, else on another caller's; else on the next that brings a set-up, and meanwhile
+    /// on a few of those that may be callers'.
     pub(super) fn tell_any_caller(&mut self, conn: CallerConn, message: ToCaller, out: &mut Vec<Effect>) {
         let conns = &self.callers.conns;
         let own = conns.get(&conn).filter(|c| c.open).map(|_| conn);
         // The one heard last is the least likely to be closed by its caller meanwhile.
-        let any = || {
-            let open = conns.iter().filter(|(_, c)| c.open);
-            open.max_by(|(_, a), (_, b)| a.asked.cmp(&b.asked).then(a.heard_at.total_cmp(&b.heard_at)))
+        let last = |calls: bool| {
+            let open = conns.iter().filter(|(_, c)| c.open && c.calls == calls);
+            let last =
+                open.max_by(|(_, a), (_, b)| a.asked.cmp(&b.asked).then(a.heard_at.total_cmp(&b.heard_at)));
+            last.map(|(&id, _)| id)
         };
-        match own.or_else(|| any().map(|(&conn, _)| conn)) {
-            Some(conn) => {
-                if let ToCaller::Released { call, how } = message {
-                    let since = self.now - CROSSING_MS;
-                    while self.callers.released.front().is_some_and(|r| r.0 < since) {
-                        self.callers.released.pop_front();
-                    }
-                    self.callers.released.push_back((self.now, conn, call, how));
-                }
-                out.push(Effect::ToCaller { conn, message });
+        let (caller, other) = (own.or_else(|| last(true)), last(false));
+        let ToCaller::Released { call, how } = message else {
+            out.extend(caller.or(other).map(|conn| Effect::ToCaller { conn, message }));
+            return;
+        };
+        if let Some(conn) = caller.or(other) {
+            let since = self.now - CROSSING_MS;
+            while self.callers.released.front().is_some_and(|r| r.0 < since) {
+                self.callers.released.pop_front();
             }
-            None => {
-                self.callers.owed.push_back(message);
-                if self.callers.owed.len() > OWED_MAX {
-                    self.callers.owed.pop_front();
-                }
+            self.callers.released.push_back((self.now, conn, call, how));
+            out.push(Effect::ToCaller { conn, message });
+        }
+        if caller.is_none() {
+            self.callers.owed.push_back(Owed { call, how, copies: u8::from(other.is_some()) });
+            if self.callers.owed.len() > OWED_MAX {
+                self.callers.owed.pop_front();
             }
         }
     }
 
+    /// A set-up was taken on this connection: whoever holds it is a caller, and hears what callers are owed.
+    pub(super) fn brought_call(&mut self, conn: CallerConn, out: &mut Vec<Effect>) {
+        let Some(c) = self.callers.conns.get_mut(&conn).filter(|c| !c.calls) else { return };
+        c.calls = true;
+        for Owed { call, how, .. } in std::mem::take(&mut self.callers.owed) {
+            self.tell_any_caller(conn, ToCaller::Released { call, how }, out);
+        }
+    }
+
     // ---- what callers say ----
 
     pub(super) fn hear_caller(
@@ -187,7 +231,10 @@
                     self.release_everywhere(call, out);
                 }
             }
-            FromCaller::Heard(call) => self.callers.released.retain(|r| r.2 != call),
+            FromCaller::Heard(call) => {
+                self.callers.released.retain(|r| r.2 != call);
+                self.callers.owed.retain(|o| o.call != call);
+            }
             FromCaller::Test(call) => {
                 let passed = self.ready();
                 out.push(Effect::ToCaller { conn, message: ToCaller::Tested { call, passed } });
--- a/src/engine/calls.rs
+++ b/src/engine/calls.rs
@@ -80,9 +80,9 @@
         self.live.get(&call)?.attempt.as_ref().map(|a| a.number)
     }
 
-    /// Set-ups that wait for their answer.
+    /// Set-ups that wait for their answer, and calls that stand.
     pub fn in_progress(&self) -> usize {
-        self.live.values().filter(|c| !c.answered).count()
+        self.live.values().filter(|c| !c.answered || c.standing.is_some()).count()
     }
 
     pub fn none_in_set_up(&self) -> bool {
@@ -210,6 +210,7 @@
             standing: None,
         };
         self.calls.live.insert(id, call);
+        self.brought_call(conn, out);
         Ok(())
     }
 
--- a/src/engine/messages.rs
+++ b/src/engine/messages.rs
@@ -48,7 +48,7 @@
     pub outcomes: Vec<(String, Outcomes)>,
     /// Attempts sent to call servers.
     pub tries: u64,
-    /// Set-ups taken and not yet ended.
+    /// Set-ups that wait for their answer, and calls that stand.
     pub in_progress: usize,
     /// Call servers on the list, and how many of them are avoided at present.
     pub known: usize,
--- a/src/net/callers.rs
+++ b/src/net/callers.rs
@@ -45,8 +45,8 @@
 /// So are other fields that go on.
 const FIELD_MAX: usize = 128;
 
-/// How often half a message is looked for.
-const HALF_LOOK: Duration = Duration::from_millis(900);
+/// Half a message is waited for so long: some callers write one over two seconds.
+const HALF_MAX: Duration = Duration::from_millis(2300);
 
 /// Frames and reads callers' messages.
 pub struct Codec;
@@ -229,7 +229,7 @@
     clock: Clock,
 ) {
     let mut framed = Framed::new(stream, Codec);
-    let mut halves = HalfMessages::new(HALF_LOOK);
+    let mut halves = HalfMessages::new(HALF_MAX);
     let mut reading = true;
     let mut unsent = Vec::new();
     loop {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -7,22 +7,25 @@
 pub mod operators;
 pub mod servers;
 
+use std::time::{Duration, Instant};
+
 /// A message holds at most so many bytes, on every connection.
 pub const MESSAGE_MAX: usize = 16 * 1024;
 /// A peer that takes nothing for so long is given up.
-const WRITE_STALL: std::time::Duration = std::time::Duration::from_secs(10);
-/// Looks for half a message that goes no further. Found at two looks with nothing whole between, it ends its
+const WRITE_STALL: Duration = Duration::from_secs(10);
+/// Looks for half a message that goes no further. Once it has lain so long with nothing whole between, it ends its
 /// connection: what would follow it can't be told apart, and the peer may never send the rest.
 struct HalfMessages {
     looks: tokio::time::Interval,
-    found: bool,
+    most: Duration,
+    since: Option<Instant>,
 }
 
 impl HalfMessages {
-    fn new(every: std::time::Duration) -> Self {
-        let mut looks = tokio::time::interval(every);
+    fn new(most: Duration) -> Self {
+        let mut looks = tokio::time::interval(most / 4);
         looks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-        HalfMessages { looks, found: false }
+        HalfMessages { looks, most, since: None }
     }
 
     /// The next look is due.
@@ -32,12 +35,16 @@
 
     /// `unread`: what came in and makes no whole message yet.
     fn look(&mut self, unread: &[u8]) -> std::io::Result<()> {
-        let before = std::mem::replace(&mut self.found, !unread.is_empty());
-        if before && self.found { Err(std::io::Error::other("half a message")) } else { Ok(()) }
+        if unread.is_empty() {
+            self.since = None;
+            return Ok(());
+        }
+        let since = *self.since.get_or_insert_with(Instant::now);
+        if since.elapsed() < self.most { Ok(()) } else { Err(std::io::Error::other("half a message")) }
     }
 
     fn got_whole(&mut self) {
-        self.found = false;
+        self.since = None;
     }
 }
 
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -23,8 +23,8 @@
 const RESET: u64 = 41;
 const NOT_SENT: u64 = 102;
 
-/// How often half a line is looked for: the calls on that connection wait for answers that will not come.
-const HALF_LOOK: Duration = Duration::from_millis(200);
+/// Half a line is waited for so long: the calls on that connection wait for answers that will not come.
+const HALF_MAX: Duration = Duration::from_millis(240);
 /// A call server closes its side of a closed connection within this, or is not waited for.
 const LINGER: Duration = Duration::from_millis(300);
 
@@ -178,7 +178,7 @@
     events: &mpsc::Sender<Event>,
 ) -> Lost {
     let mut framed = Framed::new(stream, Codec::default());
-    let mut halves = HalfMessages::new(HALF_LOOK);
+    let mut halves = HalfMessages::new(HALF_MAX);
     loop {
         let result = tokio::select! {
             order = queue.recv() => {
