--- a/src/policy.rs
+++ b/src/policy.rs
@@ -34,7 +34,7 @@
 /// Lots are drawn anew after so many windows: at each drawing two sets of senders may have sent.
 const LOT_WINDOWS: f64 = 4.0;
 /// How often a waiting set-up is looked at, ms.
-const LOOK_MS: f64 = 100.0;
+const LOOK_MS: f64 = 50.0;
 /// A call that no server may take now is tried again after this, ms.
 const HOLD_MS: f64 = 50.0;
 /// Part of its aim for which a call is held for a server to let it in: the rest is for the set-up.
@@ -63,7 +63,7 @@
 /// Span over which the rate of calls handed to this sender is measured, ms.
 const HANDED_SPAN_MS: f64 = 5000.0;
 /// Set-ups to one server may pass each other by this much, ms: journeys differ, lines do not.
-const ORDER_MS: f64 = 300.0;
+const ORDER_MS: f64 = 120.0;
 /// By so much they do when nothing is amiss, ms.
 const PASSING_MS: f64 = 50.0;
 /// No reading of a wait is taken as longer, ms: a stalled server may report any figure.
--- a/tests/controller.rs
+++ b/tests/controller.rs
@@ -513,6 +513,23 @@
     assert_eq!(rig.sends(), [0]);
 }
 
+/// One overtaken by more than journeys differ by is lost: called off at once, it can still stand within its aim. If its
+/// connection broke instead, the one that overtook it shows that the server lives.
+#[test]
+fn a_set_up_overtaken_by_far_is_called_off_and_says_nothing_of_its_server() {
+    let mut rig = Rig::new(settings(), 1);
+    let lost = rig.call();
+    rig.run_until(140.0);
+    let later = rig.call();
+    rig.stands(later, 0, 40.0);
+    rig.run_until(300.0);
+    assert!(rig.done.contains(&Action::Cancel { call: lost, attempt: 0 }));
+    rig.sends();
+    rig.ended(lost, 0, Outcome::Reset);
+    rig.run_until(600.0);
+    assert_eq!(rig.sends(), [0], "again, after the guard");
+}
+
 #[test]
 fn a_failed_probe_is_a_full_line() {
     let mut rig = Rig::new(settings(), 2);
