Read and write H.248-style text for callers and call servers, off unless a fronts file names it

Change: src/codec/h248 cuts a stream into whole top-level items (a scan that keeps its place, so a transaction split byte by byte costs no more), reads each into a tree of items with short and long tokens in any case, and maps contexts to calls both ways: Add to set-up, Reply or ErrorDescriptor to answers, Pending to a sign of life, Subtract to release. Repeated requests whose transaction is still open are not taken up again. The connections of callers and call servers are generic over their codec; the driver picks the text codec for addresses named in deploy/fronts.yaml (serde_yaml_ng, unknown keys refused), and binds a text callers' listener only where the file sets one. Without the file nothing changes.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -27,8 +27,10 @@
 //! assert!(actions.iter().any(|a| matches!(a, Action::Send { call: CallId(42), server: ServerId(1), .. })));
 //! ```
 
+pub mod codec;
 pub mod config;
 pub mod engine;
+pub mod fronts;
 pub mod interface;
 pub mod logger;
 pub mod net;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,6 +1,7 @@
 //! The command line of the border controller.
 
 use argh::{EarlyExit, FromArgs};
+use corkreach::fronts::Fronts;
 use corkreach::{config, logger, net};
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -34,6 +35,9 @@
     /// address for operators (else GW_MANAGEMENT, else the configuration's, else none)
     #[argh(option)]
     management: Option<SocketAddr>,
+    /// the operator's file of further fronts, YAML (else GW_FRONTS, else none: only the platform's own)
+    #[argh(option)]
+    fronts: Option<PathBuf>,
     /// least weighty log lines written: error, warn, info, debug or trace (info)
     #[argh(option, default = "log::LevelFilter::Info")]
     log: log::LevelFilter,
@@ -74,8 +78,10 @@
         Command::Serve(serve) => {
             let source = source(serve.config, serve.listen, serve.management)?;
             let config = source.read()?;
+            let fronts = serve.fronts.or_else(|| std::env::var_os("GW_FRONTS").map(PathBuf::from));
+            let fronts = fronts.map_or_else(|| Ok(Fronts::default()), |path| Fronts::read(&path))?;
             logger::start(&config.name, serve.log)?;
-            net::driver::run(config, source)
+            net::driver::run(config, source, fronts)
         }
         Command::Check(check) => {
             let config = source(check.config, None, None)?.read()?;
--- a/src/net/callers.rs
+++ b/src/net/callers.rs
@@ -1,6 +1,7 @@
 //! Callers: the binary codec and their connections.
 
 use super::{HalfMessages, MESSAGE_MAX, WRITE_STALL};
+use crate::codec::h248::callers::CallerCodec;
 use crate::engine::{CallerConn, Event, Fault, FromCaller, Release, SetUp, ToCaller};
 use crate::interface::CallId;
 use crate::net::driver::Clock;
@@ -8,6 +9,7 @@
 use futures_util::{SinkExt, StreamExt};
 use std::io;
 use std::time::Duration;
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
@@ -118,6 +120,13 @@
     set_up.description = description.ok_or(Fault::Missing)?.to_owned();
     let wait: f64 = wait.ok_or(Fault::Missing)?.trim().parse().map_err(|_| Fault::Invalid)?;
     set_up.wait_ms = Some(wait).filter(|w| w.is_finite() && *w >= 0.0).ok_or(Fault::Invalid)?;
+    bounded(&set_up)?;
+    Ok(set_up)
+}
+
+/// Whether a set-up's texts fit what a call server takes, from any front: a description within its JSON bound,
+/// class and number of at most 128 bytes, the number hexadecimal.
+pub(crate) fn bounded(set_up: &SetUp) -> Result<(), Fault> {
     let number = set_up.number.as_deref().unwrap_or("0");
     if json_len(&set_up.description) > DESCRIPTION_JSON_MAX
         || number.len().max(set_up.class.len()) > FIELD_MAX
@@ -125,7 +134,7 @@
     {
         return Err(Fault::Invalid);
     }
-    Ok(set_up)
+    Ok(())
 }
 
 /// Code and value of the first parameter, and what follows it.
@@ -137,7 +146,7 @@
 
 /// The call server of first choice, if any, and the lines wanted, out of `dest:2;width:1;via:-1`; none if a
 /// field is no figure, or one of these two no count.
-fn extras(text: &str) -> Option<(Option<u32>, u32)> {
+pub(crate) fn extras(text: &str) -> Option<(Option<u32>, u32)> {
     let (mut dest, mut width) = (None, 1);
     for field in text.split(';').map(str::trim).filter(|f| !f.is_empty()) {
         let (name, figure) = field.split_once(':')?;
@@ -219,16 +228,38 @@
     }
 }
 
+/// A codec of callers' messages, of any front.
+pub trait CallerFront:
+    Decoder<Item = FromCaller, Error = io::Error> + Encoder<ToCaller, Error = io::Error>
+{
+    /// What is written before the connection is closed for an error in what the caller sent, if anything.
+    fn farewell(&self, _error: &io::Error) -> Option<Vec<u8>> {
+        None
+    }
+}
+
+impl CallerFront for Codec {}
+
+impl CallerFront for crate::codec::h248::callers::CallerCodec {
+    fn farewell(&self, error: &io::Error) -> Option<Vec<u8>> {
+        Some(CallerCodec::farewell(self, error))
+    }
+}
+
+/// A last word to a faulty caller is given so long to be written.
+const LAST_WORD: Duration = Duration::from_millis(200);
+
 /// Serves one connection until either side ends it. The task owns the stream; the engine closes it by letting
 /// go of the queue's other end.
-pub async fn serve(
+pub async fn serve<C: CallerFront>(
     stream: TcpStream,
+    codec: C,
     conn: CallerConn,
     mut queue: mpsc::Receiver<ToCaller>,
     events: mpsc::Sender<Event>,
     clock: Clock,
 ) {
-    let mut framed = Framed::new(stream, Codec);
+    let mut framed = Framed::new(stream, codec);
     let mut halves = HalfMessages::new(HALF_MAX);
     let mut reading = true;
     let mut unsent = Vec::new();
@@ -258,6 +289,9 @@
                     Some(Ok(message)) => Event::Caller { conn, read_at: clock.read_at(), message },
                     Some(Err(e)) => {
                         log::debug!("caller {}: {e}", conn.0);
+                        if let Some(last) = framed.codec().farewell(&e) {
+                            let _ = timeout(LAST_WORD, framed.get_mut().write_all(&last)).await;
+                        }
                         break;
                     }
                     None => {
@@ -279,7 +313,7 @@
     let _ = events.send(Event::CallerClosed { conn, unsent }).await;
 }
 
-async fn write(framed: &mut Framed<TcpStream, Codec>, batch: &[ToCaller]) -> io::Result<()> {
+async fn write<C: CallerFront>(framed: &mut Framed<TcpStream, C>, batch: &[ToCaller]) -> io::Result<()> {
     for message in batch {
         framed.feed(message.clone()).await?;
     }
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -3,10 +3,12 @@
 use super::listeners::{self, Heirs};
 use super::servers::Order;
 use super::{WRITE_QUEUE, callers, names, operators, servers};
+use crate::codec::h248::{callers::CallerCodec, servers::ServerCodec};
 use crate::config::{Config, Source};
 use crate::engine::{
     CallerConn, Effect, Engine, Event, OperatorAnswer, OperatorAsk, OperatorConn, ServerConn, ToCaller,
 };
+use crate::fronts::Fronts;
 use std::cell::Cell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -51,13 +53,13 @@
 }
 
 /// Runs the border controller until it is stopped.
-pub fn run(config: Config, source: Source) -> Result<(), String> {
+pub fn run(config: Config, source: Source, fronts: Fronts) -> Result<(), String> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
-    LocalSet::new().block_on(&runtime, serve(config, source))
+    LocalSet::new().block_on(&runtime, serve(config, source, fronts))
 }
 
-async fn serve(mut config: Config, source: Source) -> Result<(), String> {
+async fn serve(mut config: Config, source: Source, fronts: Fronts) -> Result<(), String> {
     // First of all: a SIGHUP without a handler ends the program.
     let mut hangups = signal(SignalKind::hangup()).map_err(|e| format!("signals: {e}"))?;
     let bound = |at| listeners::bind(at).map_err(|e| format!("listening on {at}: {e}"));
@@ -66,7 +68,15 @@
     let mut interrupts = signal(SignalKind::interrupt()).map_err(|e| format!("signals: {e}"))?;
     let (sender, mut events) = mpsc::channel(EVENT_QUEUE);
     let (names, at) = watch::channel(config.names);
-    let mut driver = Driver::new(&config, sender.clone(), names);
+    let mut text_listener = match fronts.text.listen {
+        Some(at) => {
+            let listener = bound(at)?;
+            log::info!("text callers on {}", listener.local_addr().map_err(|e| format!("listening: {e}"))?);
+            Some(listener)
+        }
+        None => None,
+    };
+    let mut driver = Driver::new(&config, sender.clone(), names, fronts);
     tokio::task::spawn_local(beat(driver.clock.clone()));
     tokio::task::spawn_local(names::poll(at, config.seed, sender));
     let listening = listener.local_addr().map_err(|e| format!("listening: {e}"))?;
@@ -92,19 +102,20 @@
                 }
             }
             accepted = listeners::accept(listener.as_ref()), if driver.may_accept() => match accepted {
-                Ok((stream, _)) => driver.accept(stream),
-                Err(e) => {
-                    log::warn!("accepting: {e}");
-                    driver.accept_from = Instant::now() + ACCEPT_PAUSE;
-                }
+                Ok((stream, _)) => driver.accept(stream, Speech::Binary),
+                Err(e) => driver.pause_accepting(&e),
+            },
+            accepted = listeners::accept(text_listener.as_ref()), if driver.may_accept() => match accepted {
+                Ok((stream, _)) => driver.accept(stream, Speech::Text),
+                Err(e) => driver.pause_accepting(&e),
             },
             _ = hangups.recv() => match source.read() {
                 Ok(new) => driver.follow(&config, new),
                 Err(e) => log::error!("the configuration stays as it was: {e}"),
             },
             Some((ask, answer)) = questions.recv() => driver.ask(ask, answer),
-            _ = stops.recv() => driver.stop(&mut listener, &heirs),
-            _ = interrupts.recv() => driver.stop(&mut listener, &heirs),
+            _ = stops.recv() => driver.stop(&mut listener, &mut text_listener, &heirs),
+            _ = interrupts.recv() => driver.stop(&mut listener, &mut text_listener, &heirs),
             () = sleep(Duration::from_secs_f64(wait / 1000.0)) => driver.step(Event::Tick),
         }
     }
@@ -142,10 +153,23 @@
     tasks: JoinSet<()>,
     effects: Vec<Effect>,
     exiting: bool,
+    fronts: Fronts,
+}
+
+/// What a caller's connection speaks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Speech {
+    Binary,
+    Text,
 }
 
 impl Driver {
-    fn new(config: &Config, events: mpsc::Sender<Event>, names: watch::Sender<SocketAddr>) -> Self {
+    fn new(
+        config: &Config,
+        events: mpsc::Sender<Event>,
+        names: watch::Sender<SocketAddr>,
+        fronts: Fronts,
+    ) -> Self {
         let clock = Clock::default();
         let engine = Engine::new(config.settings.clone(), config.host.clone(), config.seed, clock.now());
         Driver {
@@ -164,6 +188,7 @@
             tasks: JoinSet::new(),
             effects: Vec::new(),
             exiting: false,
+            fronts,
         }
     }
 
@@ -221,7 +246,20 @@
                 let (queue, orders) = mpsc::channel(WRITE_QUEUE);
                 self.servers.insert(conn, queue);
                 let timeout = Duration::from_secs_f64(timeout_ms.clamp(1.0, 60_000.0) / 1000.0);
-                self.tasks.spawn_local(servers::serve(addr, timeout, conn, orders, self.events.clone()));
+                let events = self.events.clone();
+                if self.fronts.speaks_text(addr) {
+                    let codec = ServerCodec::new(&self.fronts.mid);
+                    self.tasks.spawn_local(servers::serve(codec, addr, timeout, conn, orders, events));
+                } else {
+                    self.tasks.spawn_local(servers::serve(
+                        servers::Codec::default(),
+                        addr,
+                        timeout,
+                        conn,
+                        orders,
+                        events,
+                    ));
+                }
             }
             Effect::ToServer { conn, message, confirm } => {
                 let full = self.servers.get(&conn).is_some_and(|q| q.try_send((message, confirm)).is_err());
@@ -255,17 +293,27 @@
 
     /// A successor takes what comes from now on: the connections that this listener was given already are served
     /// here, and it is let go at once, so that no later one is left unread.
-    fn stop(&mut self, listener: &mut Option<TcpListener>, heirs: &Heirs) {
+    fn stop(&mut self, listener: &mut Option<TcpListener>, text: &mut Option<TcpListener>, heirs: &Heirs) {
         let successor = heirs.any_other();
         if successor && let Some(listener) = listener.take() {
             for stream in listeners::last_of(listener) {
-                self.accept(stream);
+                self.accept(stream, Speech::Binary);
+            }
+        }
+        if successor && let Some(listener) = text.take() {
+            for stream in listeners::last_of(listener) {
+                self.accept(stream, Speech::Text);
             }
         }
         self.step(Event::Stop { successor });
     }
 
-    fn accept(&mut self, stream: TcpStream) {
+    fn pause_accepting(&mut self, error: &std::io::Error) {
+        log::warn!("accepting: {error}");
+        self.accept_from = Instant::now() + ACCEPT_PAUSE;
+    }
+
+    fn accept(&mut self, stream: TcpStream, speech: Speech) {
         if let Err(e) = stream.set_nodelay(true) {
             log::debug!("a caller's connection: {e}");
         }
@@ -275,7 +323,15 @@
         let (queue, messages) = mpsc::channel(WRITE_QUEUE);
         self.callers.insert(conn, queue);
         let (events, clock) = (self.events.clone(), self.clock.clone());
-        self.tasks.spawn_local(callers::serve(stream, conn, messages, events, clock));
+        match speech {
+            Speech::Binary => {
+                self.tasks.spawn_local(callers::serve(stream, callers::Codec, conn, messages, events, clock))
+            }
+            Speech::Text => {
+                let codec = CallerCodec::new(&self.fronts.mid);
+                self.tasks.spawn_local(callers::serve(stream, codec, conn, messages, events, clock))
+            }
+        };
         self.step(Event::CallerOpened(conn));
     }
 
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -71,13 +71,7 @@
         }
         (Some("down"), Some(call)) => {
             let cause = object.get("c").and_then(Value::as_u64).unwrap_or(RESET);
-            let how = match cause {
-                NORMAL => Ending::Normal,
-                FULL => Ending::Full { lines: field("note") == Some("nc") },
-                RESET => Ending::Reset,
-                NOT_SENT => Ending::NotSent,
-                _ => Ending::Error,
-            };
+            let how = ending(cause, field("note") == Some("nc"));
             Some(FromServer::Ended { call, how, report: report() })
         }
         (Some("gauge"), _) => Some(FromServer::State(report())),
@@ -86,8 +80,19 @@
     })
 }
 
+/// How a call ended, by its Q.850 cause; `lines`: a full server said it lacked a line (note `nc`).
+pub(crate) fn ending(cause: u64, lines: bool) -> Ending {
+    match cause {
+        NORMAL => Ending::Normal,
+        FULL => Ending::Full { lines },
+        RESET => Ending::Reset,
+        NOT_SENT => Ending::NotSent,
+        _ => Ending::Error,
+    }
+}
+
 /// A report's fields, as in `x0:12;x1:40;queue:3`; those unknown are passed over.
-fn load(text: &str) -> LoadReport {
+pub(crate) fn load(text: &str) -> LoadReport {
     let mut report = LoadReport::default();
     for (name, value) in text.split(';').filter_map(|field| field.split_once(':')) {
         if let Ok(value) = value.trim().parse() {
@@ -139,12 +144,23 @@
     }
 }
 
+/// A codec of call servers' messages, of any front.
+pub trait ServerFront:
+    Decoder<Item = FromServer, Error = io::Error> + for<'a> Encoder<&'a ToServer, Error = io::Error>
+{
+}
+
+impl ServerFront for Codec {}
+
+impl ServerFront for crate::codec::h248::servers::ServerCodec {}
+
 /// What is to be written, and whether the engine wants to know when it is.
 pub type Order = (ToServer, bool);
 
 /// Opens a connection and serves it until either side ends it. The task owns the stream; the engine closes it
 /// by letting go of the queue's other end.
-pub async fn serve(
+pub async fn serve<C: ServerFront>(
+    codec: C,
     addr: SocketAddr,
     dial_timeout: Duration,
     conn: ServerConn,
@@ -159,7 +175,7 @@
             if events.send(Event::ServerOpened(conn)).await.is_err() {
                 return;
             }
-            exchange(stream, conn, &mut queue, &events).await
+            exchange(Framed::new(stream, codec), conn, &mut queue, &events).await
         }
         Ok(Err(e)) if e.kind() == io::ErrorKind::ConnectionRefused => Lost::Refused,
         Ok(Err(e)) => {
@@ -171,13 +187,12 @@
     let _ = events.send(Event::ServerLost { conn, how }).await;
 }
 
-async fn exchange(
-    stream: TcpStream,
+async fn exchange<C: ServerFront>(
+    mut framed: Framed<TcpStream, C>,
     conn: ServerConn,
     queue: &mut mpsc::Receiver<Order>,
     events: &mpsc::Sender<Event>,
 ) -> Lost {
-    let mut framed = Framed::new(stream, Codec::default());
     let mut halves = HalfMessages::new(HALF_MAX);
     loop {
         let result = tokio::select! {
@@ -217,7 +232,11 @@
 }
 
 /// Closed from here: what the call server had said by then is still heard, as it is told nowhere else.
-async fn read_out(mut framed: Framed<TcpStream, Codec>, conn: ServerConn, events: &mpsc::Sender<Event>) {
+async fn read_out<C: ServerFront>(
+    mut framed: Framed<TcpStream, C>,
+    conn: ServerConn,
+    events: &mpsc::Sender<Event>,
+) {
     if framed.get_mut().shutdown().await.is_err() {
         return;
     }
@@ -231,7 +250,7 @@
     let _ = timeout(LINGER, rest).await;
 }
 
-async fn write(framed: &mut Framed<TcpStream, Codec>, batch: &[Order]) -> io::Result<()> {
+async fn write<C: ServerFront>(framed: &mut Framed<TcpStream, C>, batch: &[Order]) -> io::Result<()> {
     for (message, _) in batch {
         framed.feed(message).await?;
     }
