--- a/src/codec/h248/frame.rs
+++ b/src/codec/h248/frame.rs
@@ -53,6 +53,9 @@
         while at < bytes.len() {
             let byte = bytes[at];
             at += 1;
+            if at > self.most {
+                return Err(FrameError::TooLong(self.most));
+            }
             if self.comment {
                 self.comment = byte != b'\n' && byte != b'\r';
                 continue;
@@ -76,9 +79,6 @@
                 b if b.is_ascii_whitespace() => {}
                 _ => self.begun = true,
             }
-            if at > self.most {
-                return Err(FrameError::TooLong(self.most));
-            }
         }
         self.scanned = at;
         // Only blank space stands there: it is dropped, so that it counts against no later item.
@@ -127,6 +127,8 @@
         let endless = vec![b'x'; 5000];
         assert_eq!(frames(&endless, 100), Err(FrameError::TooLong(4096)));
         assert_eq!(frames(b"T=1 }", 3), Err(FrameError::Unbalanced));
+        let quoted = [&b"T=1{\""[..], &[b'x'; 5000]].concat();
+        assert_eq!(frames(&quoted, 100), Err(FrameError::TooLong(4096)));
     }
 
     #[test]
--- a/src/fronts.rs
+++ b/src/fronts.rs
@@ -96,6 +96,7 @@
         assert!(fronts.speaks_text("127.0.0.1:9".parse().unwrap()));
         assert!(!fronts.speaks_text("127.0.0.1:10".parse().unwrap()));
         assert_eq!(Fronts::parse("{}").unwrap(), Fronts::default());
+        assert_eq!(Fronts::parse(include_str!("../deploy/fronts.yaml")).unwrap(), Fronts::default());
         for bad in [
             "text:\n  lissen: 127.0.0.1:1\n",
             "text:\n  listen: nowhere\n",
--- a/src/net/callers.rs
+++ b/src/net/callers.rs
@@ -9,7 +9,7 @@
 use futures_util::{SinkExt, StreamExt};
 use std::io;
 use std::time::Duration;
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
@@ -249,6 +249,15 @@
 /// A last word to a faulty caller is given so long to be written.
 const LAST_WORD: Duration = Duration::from_millis(200);
 
+/// Writes a last word and reads what still comes, so that the close is no reset that would lose the word.
+async fn last_word(stream: &mut TcpStream, last: &[u8]) -> io::Result<()> {
+    stream.write_all(last).await?;
+    stream.shutdown().await?;
+    let mut rest = [0; 4096];
+    while stream.read(&mut rest).await? > 0 {}
+    Ok(())
+}
+
 /// Serves one connection until either side ends it. The task owns the stream; the engine closes it by letting
 /// go of the queue's other end.
 pub async fn serve<C: CallerFront>(
@@ -290,7 +299,7 @@
                     Some(Err(e)) => {
                         log::debug!("caller {}: {e}", conn.0);
                         if let Some(last) = framed.codec().farewell(&e) {
-                            let _ = timeout(LAST_WORD, framed.get_mut().write_all(&last)).await;
+                            let _ = timeout(LAST_WORD, last_word(framed.get_mut(), &last)).await;
                         }
                         break;
                     }
--- a/tests/process/rig.rs
+++ b/tests/process/rig.rs
@@ -11,7 +11,7 @@
 use std::time::{Duration, Instant};
 
 /// Whatever a test waits for comes well within this, or it fails.
-const PATIENCE: Duration = Duration::from_secs(15);
+pub const PATIENCE: Duration = Duration::from_secs(15);
 pub const SDP: &str =
     "9d41c07a5be2f318\r\nc=IN IP4 10.4.7.9\r\nm=audio 31000 RTP/AVP 0 8 101\r\ns=\"\u{e6}\"\r\n";
 
@@ -461,6 +461,16 @@
 
 /// The same with a limit on descriptors.
 pub fn start_with(servers: &[&Server], sockets: usize) -> (Program, Names) {
+    let (program, names, _) = launch(servers, sockets, None, false);
+    (program, names)
+}
+
+fn launch(
+    servers: &[&Server],
+    sockets: usize,
+    fronts: Option<&str>,
+    text_callers: bool,
+) -> (Program, Names, Option<SocketAddr>) {
     let names = Names::start();
     let list: Vec<Listed> = servers.iter().map(|s| s.listed.clone()).collect();
     names.state.lock().unwrap().list = list.clone();
@@ -477,12 +487,38 @@
     let folder = std::env::temp_dir().join(format!("corkreach-{}-{}", std::process::id(), names.addr.port()));
     std::fs::create_dir_all(&folder).unwrap();
     std::fs::write(folder.join("config.json"), config.to_string()).unwrap();
-    let (child, addr, management) = spawn(&folder, &["serve"]);
-    (Program { child, addr, management, folder, config }, names)
+    let mut arguments = vec!["serve".to_owned()];
+    if let Some(fronts) = fronts {
+        let path = folder.join("fronts.yaml");
+        std::fs::write(&path, fronts).unwrap();
+        arguments.extend(["--fronts".to_owned(), path.to_str().unwrap().to_owned()]);
+    }
+    let arguments: Vec<&str> = arguments.iter().map(String::as_str).collect();
+    let (child, text, addr, management) = spawn_text(&folder, &arguments, text_callers);
+    (Program { child, addr, management, folder, config }, names, text)
+}
+
+/// The same with an operator's file of fronts; with `text_callers` it says where text callers connect.
+pub fn start_fronts(
+    servers: &[&Server],
+    fronts: &str,
+    text_callers: bool,
+) -> (Program, Names, Option<SocketAddr>) {
+    launch(servers, 1024, Some(fronts), text_callers)
 }
 
 /// Starts a process with the configuration and the `$TMPDIR` in this folder; it tells its two addresses.
 fn spawn(folder: &std::path::Path, arguments: &[&str]) -> (Child, SocketAddr, SocketAddr) {
+    let (child, _, addr, management) = spawn_text(folder, arguments, false);
+    (child, addr, management)
+}
+
+/// The same; with `text`, the process tells the text callers' address first.
+fn spawn_text(
+    folder: &std::path::Path,
+    arguments: &[&str],
+    text: bool,
+) -> (Child, Option<SocketAddr>, SocketAddr, SocketAddr) {
     let mut command = run(arguments);
     command.env("GW_CONFIG", folder.join("config.json")).env("TMPDIR", folder);
     let mut child = command.stdin(Stdio::null()).stderr(Stdio::piped()).spawn().unwrap();
@@ -495,8 +531,9 @@
         }
         line.trim().rsplit(' ').next().unwrap().parse().unwrap()
     };
+    let text = text.then(|| told("text callers on "));
     let (management, addr) = (told("operators on "), told("listening on "));
     // The log is read on, or the program would stand still once the pipe is full.
     std::thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
-    (child, addr, management)
+    (child, text, addr, management)
 }
