Play the process rule suite unchanged against call servers that speak H.248 text

The rig can keep the program's log (CORKREACH_RIG_LOG) for a look at a failure.

Found on the way: the stand-in took a line's end left in its buffer for speech, and waited on the wrong connection; the log showed the program calling the server silent after 2.5 s.

--- a/tests/process/rig.rs
+++ b/tests/process/rig.rs
@@ -133,13 +133,24 @@
 pub struct Server {
     pub listener: TcpListener,
     pub listed: Listed,
+    /// It speaks H.248 text.
+    pub text: bool,
 }
 
 impl Server {
     pub fn start(id: &'static str, place: u32) -> Server {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let addr = listener.local_addr().unwrap();
-        Server { listener, listed: Listed { id, addr, place, draining: false, started_ms: 0 } }
+        Server {
+            listener,
+            listed: Listed { id, addr, place, draining: false, started_ms: 0 },
+            text: text_servers(),
+        }
+    }
+
+    /// One that speaks JSON lines in every run.
+    pub fn json(id: &'static str, place: u32) -> Server {
+        Server { text: false, ..Server::start(id, place) }
     }
 
     /// The next connection, before its first word.
@@ -148,7 +159,7 @@
         let since = Instant::now();
         loop {
             match self.listener.accept() {
-                Ok((stream, _)) => return Link::new(stream),
+                Ok((stream, _)) => return Link::new(stream, self.text),
                 Err(_) => assert!(since.elapsed() < PATIENCE, "the program does not connect"),
             }
             std::thread::sleep(Duration::from_millis(2));
@@ -162,20 +173,29 @@
     }
 }
 
-/// A call server's end of a connection.
+/// A call server's end of a connection. With `CORKREACH_RIG_SERVERS=text` every call server speaks H.248 text
+/// (`text::Speech`) and the program is told so, while tests read and write the same JSON lines as ever.
 pub struct Link {
     lines: BufReader<TcpStream>,
+    text: Option<crate::text::Speech>,
 }
 
 impl Link {
-    fn new(stream: TcpStream) -> Link {
+    fn new(stream: TcpStream, text: bool) -> Link {
         stream.set_nonblocking(false).unwrap();
         stream.set_read_timeout(Some(PATIENCE)).unwrap();
-        Link { lines: BufReader::new(stream) }
+        let text = text.then(crate::text::Speech::default);
+        Link { lines: BufReader::new(stream), text }
     }
 
     pub fn say(&mut self, line: Value) {
-        self.say_raw(&format!("{line}\n"));
+        match self.text.as_mut() {
+            Some(speech) => {
+                let text = speech.say(&line);
+                self.say_raw(&text);
+            }
+            None => self.say_raw(&format!("{line}\n")),
+        }
     }
 
     pub fn say_raw(&mut self, text: &str) {
@@ -184,6 +204,9 @@
 
     /// The next line, or none if the connection was closed.
     pub fn hear(&mut self) -> Option<Value> {
+        if let Some(speech) = self.text.as_mut() {
+            return speech.hear(&mut self.lines);
+        }
         let mut line = String::new();
         match self.lines.read_line(&mut line) {
             Ok(0) => None,
@@ -225,7 +248,10 @@
             for (link, own) in [(&*self, true), (&*other, false)] {
                 let stream = link.lines.get_ref();
                 stream.set_nonblocking(true).unwrap();
-                let came = stream.peek(&mut [0]).is_ok_and(|n| n > 0) || !link.lines.buffer().is_empty();
+                let unread =
+                    link.text.as_ref().is_some_and(|t| t.unread.iter().any(|b| !b.is_ascii_whitespace()));
+                let came =
+                    stream.peek(&mut [0]).is_ok_and(|n| n > 0) || !link.lines.buffer().is_empty() || unread;
                 stream.set_nonblocking(false).unwrap();
                 if came {
                     return own;
@@ -445,6 +471,11 @@
     }
 }
 
+/// Whether the call servers of this run speak H.248 text.
+pub fn text_servers() -> bool {
+    std::env::var("CORKREACH_RIG_SERVERS").is_ok_and(|v| v == "text")
+}
+
 pub fn run(arguments: &[&str]) -> Command {
     let mut command = Command::new(env!("CARGO_BIN_EXE_corkreach"));
     command.args(arguments);
@@ -488,7 +519,9 @@
     std::fs::create_dir_all(&folder).unwrap();
     std::fs::write(folder.join("config.json"), config.to_string()).unwrap();
     let mut arguments = vec!["serve".to_owned()];
-    if let Some(fronts) = fronts {
+    let all_text = "text:\n  servers:\n    all: true\n";
+    let text = servers.iter().any(|s| s.text);
+    if let Some(fronts) = fronts.or(text.then_some(all_text)) {
         let path = folder.join("fronts.yaml");
         std::fs::write(&path, fronts).unwrap();
         arguments.extend(["--fronts".to_owned(), path.to_str().unwrap().to_owned()]);
@@ -521,6 +554,10 @@
 ) -> (Child, Option<SocketAddr>, SocketAddr, SocketAddr) {
     let mut command = run(arguments);
     command.env("GW_CONFIG", folder.join("config.json")).env("TMPDIR", folder);
+    // A successor speaks as its forerunner.
+    if folder.join("fronts.yaml").exists() {
+        command.env("GW_FRONTS", folder.join("fronts.yaml"));
+    }
     let mut child = command.stdin(Stdio::null()).stderr(Stdio::piped()).spawn().unwrap();
     let mut log = BufReader::new(child.stderr.take().unwrap());
     let mut told = |what: &str| {
@@ -534,6 +571,10 @@
     let text = text.then(|| told("text callers on "));
     let (management, addr) = (told("operators on "), told("listening on "));
     // The log is read on, or the program would stand still once the pipe is full.
-    std::thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
+    // The log is kept where CORKREACH_RIG_LOG says, for a look at a failure.
+    std::thread::spawn(move || match std::env::var_os("CORKREACH_RIG_LOG") {
+        Some(path) => std::fs::File::create(path).and_then(|mut file| std::io::copy(&mut log, &mut file)),
+        None => std::io::copy(&mut log, &mut std::io::sink()),
+    });
     (child, text, addr, management)
 }
--- a/tests/process/text.rs
+++ b/tests/process/text.rs
@@ -4,8 +4,10 @@
 use bytes::BytesMut;
 use corkreach::codec::h248::frame::Framer;
 use corkreach::codec::h248::tree::{Item, Token, parse};
-use serde_json::json;
-use std::io::{Read, Write};
+use corkreach::codec::h248::{quote, unquote};
+use serde_json::{Value, json};
+use std::collections::HashMap;
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 
 /// One end that speaks text: a stand-in call server's connection, or a text caller.
@@ -55,6 +57,93 @@
     }
 }
 
+/// A stand-in text call server's speech, for the JSON lines of the rule suite: what a test says in JSON is said
+/// in text, and what the program says in text is heard as the JSON it would have written.
+pub struct Speech {
+    framer: Framer,
+    pub unread: BytesMut,
+    /// The program's set-ups: their transactions and classes, by call.
+    set_ups: HashMap<u64, (u32, String)>,
+    own: u32,
+}
+
+impl Default for Speech {
+    fn default() -> Self {
+        Speech { framer: Framer::new(1 << 16), unread: BytesMut::new(), set_ups: HashMap::new(), own: 0 }
+    }
+}
+
+impl Speech {
+    pub fn say(&mut self, line: &Value) -> String {
+        let call = line["ref"].as_str().and_then(|r| u64::from_str_radix(r, 16).ok());
+        let field = |name: &str| line["f"][name].as_str();
+        let (transaction, class) =
+            call.and_then(|c| self.set_ups.get(&c).cloned()).unwrap_or((0, "-".to_owned()));
+        self.own += 1;
+        let body = match (line["t"].as_str(), call) {
+            (Some("up"), Some(call)) => {
+                let description = line["d"].as_str().map(|d| format!("{{M{{O{{cork/desc={}}}}}}}", quote(d)));
+                format!("P={transaction}{{C={call}{{A={class}{}}}}}", description.unwrap_or_default())
+            }
+            (Some("down"), Some(call)) => {
+                let mut properties = Vec::new();
+                if let Some(cause) = line["c"].as_u64() {
+                    properties.push(format!("cork/cause={cause}"));
+                }
+                for name in ["note", "load"] {
+                    if let Some(value) = field(name) {
+                        properties.push(format!("cork/{name}={}", quote(value)));
+                    }
+                }
+                format!("T={}{{C={call}{{S={class}{{SA{{{}}}}}}}}}", self.own, properties.join(","))
+            }
+            (Some("gauge"), _) => {
+                let load = quote(field("load").unwrap_or(""));
+                format!("T={}{{C=-{{N=ROOT{{OE=0{{cork/gauge{{cork/load={load}}}}}}}}}}}", self.own)
+            }
+            (Some("wait" | "ack" | "hb_ok"), _) => format!("PN={transaction}{{}}"),
+            _ => format!("T={}{{C=-{{MF=ROOT}}}}", self.own),
+        };
+        format!("MEGACO/1 <stand-in>\n{body}\n")
+    }
+
+    /// The next item as a JSON line, or none once the connection is closed.
+    pub fn hear(&mut self, from: &mut BufReader<TcpStream>) -> Option<Value> {
+        let item = loop {
+            if let Some(frame) = self.framer.next(&mut self.unread).unwrap() {
+                break parse(std::str::from_utf8(&frame).unwrap()).unwrap().item;
+            }
+            let bytes = from.fill_buf().unwrap_or_else(|e| panic!("text from the program: {e}"));
+            if bytes.is_empty() {
+                return None;
+            }
+            let n = bytes.len();
+            self.unread.extend_from_slice(bytes);
+            from.consume(n);
+        };
+        let context = item.child(Token::Context).unwrap();
+        let call: u64 = context.value.as_deref().unwrap().parse().unwrap();
+        let command = &context.children[0];
+        let reference = format!("{call:016x}");
+        Some(match (item.token(), command.token()) {
+            (Token::Transaction, Token::Add) => {
+                let transaction = item.value.as_deref().unwrap().parse().unwrap();
+                let class = command.value.clone().unwrap();
+                self.set_ups.insert(call, (transaction, class.clone()));
+                let mut f = json!({"class": class, "left": command.property("cork/left").unwrap()});
+                if let Some(number) = command.property("cork/number") {
+                    f["key"] = json!(number);
+                }
+                let description = unquote(command.property("cork/desc").unwrap()).unwrap();
+                json!({"t": "new", "ref": reference, "f": f, "d": description})
+            }
+            (Token::Transaction, Token::Subtract) => json!({"t": "down", "ref": reference, "f": {}, "c": 16}),
+            (Token::Reply, Token::Subtract) => json!({"t": "ack", "ref": reference, "f": {}}),
+            other => panic!("no JSON line for {other:?}: {item:?}"),
+        })
+    }
+}
+
 const SDP: &str = "v=0\r\nc=IN IP4 10.4.7.9\r\ns=\"æ\"";
 
 fn text_servers() -> (Server, Server, Program, Names, Peer, Peer) {
@@ -113,7 +202,7 @@
 
 #[test]
 fn a_text_caller_is_served_by_a_json_server_and_its_garbage_ends_only_its_own_connection() {
-    let a = Server::start("s-a", 0);
+    let a = Server::json("s-a", 0);
     let fronts = "text:\n  listen: 127.0.0.1:0\n";
     let (program, _names, text) = start_fronts(&[&a], fronts, true);
     let mut la = a.accept();
@@ -151,7 +240,7 @@
 
 #[test]
 fn an_endless_item_from_a_text_caller_is_refused() {
-    let a = Server::start("s-a", 0);
+    let a = Server::json("s-a", 0);
     let (program, _names, text) = start_fronts(&[&a], "text:\n  listen: 127.0.0.1:0\n", true);
     let _la = a.accept();
     let _ready = program.ready_caller();
