--- a/src/codec/h248/callers.rs
+++ b/src/codec/h248/callers.rs
@@ -81,13 +81,13 @@
     }
 
     fn read(&mut self, item: &Item) -> io::Result<Option<FromCaller>> {
-        let transaction: Option<u32> = item.value.as_deref().and_then(|v| v.parse().ok());
+        let transaction: Option<u32> = item.value.and_then(|v| v.parse().ok());
         match item.token() {
             Token::Pending | Token::ResponseAck => return Ok(None),
             Token::Reply => {
                 let heard = item.children.iter().filter(|c| c.token() == Token::Context);
                 return Ok(heard
-                    .filter_map(|c| context(c.value.as_deref()))
+                    .filter_map(|c| context(c.value))
                     .next()
                     .map(|id| FromCaller::Heard(CallId(id))));
             }
@@ -96,9 +96,7 @@
         }
         let transaction = transaction.ok_or_else(|| syntax("a transaction without its id"))?;
         let action = item.child(Token::Context).ok_or_else(|| syntax("a transaction without a context"))?;
-        let call = CallId(
-            context(action.value.as_deref()).ok_or_else(|| syntax("a context id that names no call"))?,
-        );
+        let call = CallId(context(action.value).ok_or_else(|| syntax("a context id that names no call"))?);
         let Some(command) = action.children.first() else {
             return Err(syntax("a context without a command"));
         };
@@ -106,8 +104,7 @@
             log::debug!("transaction {transaction} repeated while it is open");
             return Ok(None);
         }
-        let asked =
-            Asked { transaction, termination: command.value.clone().unwrap_or_else(|| "-".to_owned()) };
+        let asked = Asked { transaction, termination: command.value.unwrap_or("-").to_owned() };
         let message = match command.token() {
             Token::Add => {
                 self.set_ups.insert(call, asked)?;
@@ -148,8 +145,7 @@
     if call == CallId(0) {
         return Err(Fault::Missing);
     }
-    let class =
-        command.value.as_deref().filter(|c| !matches!(*c, "" | "$" | "*" | "-")).ok_or(Fault::Missing)?;
+    let class = command.value.filter(|c| !matches!(*c, "" | "$" | "*" | "-")).ok_or(Fault::Missing)?;
     let property = |name: &str| command.property(name);
     let mut set_up = SetUp { call, width: 1, class: class.to_owned(), ..SetUp::default() };
     let wait: f64 = property("cork/wait").ok_or(Fault::Missing)?.parse().map_err(|_| Fault::Invalid)?;
--- a/src/codec/h248/servers.rs
+++ b/src/codec/h248/servers.rs
@@ -55,9 +55,9 @@
     }
 
     fn read(&mut self, item: &Item) -> io::Result<Option<FromServer>> {
-        let transaction: Option<u32> = item.value.as_deref().and_then(|v| v.parse().ok());
+        let transaction: Option<u32> = item.value.and_then(|v| v.parse().ok());
         let action = item.child(Token::Context);
-        let call = action.and_then(|a| context(a.value.as_deref())).map(CallId);
+        let call = action.and_then(|a| context(a.value)).map(CallId);
         let command = action.and_then(|a| a.children.first());
         Ok(match item.token() {
             Token::Pending | Token::ResponseAck => Some(FromServer::Sign),
@@ -71,7 +71,7 @@
                     }
                     Some(c) if c.token() == Token::Error => {
                         self.classes.take(&call);
-                        let how = match c.value.as_deref().and_then(|v| v.parse().ok()) {
+                        let how = match c.value.and_then(|v| v.parse().ok()) {
                             Some(INSUFFICIENT_RESOURCES) => Ending::Full { lines: false },
                             Some(NO_TERMINATION) => Ending::Full { lines: true },
                             Some(UNAVAILABLE) => Ending::NotSent,
@@ -100,7 +100,7 @@
                 }
             }
             Token::Error => {
-                return Err(syntax(format!("the server says error {}", item.value.as_deref().unwrap_or(""))));
+                return Err(syntax(format!("the server says error {}", item.value.unwrap_or(""))));
             }
             _ => return Err(syntax(format!("no request nor reply: {}", item.name))),
         })
--- a/src/codec/h248/tree.rs
+++ b/src/codec/h248/tree.rs
@@ -7,40 +7,32 @@
 use std::fmt;
 
 /// A node of the tree: `name = value { children }`, each part but the name optional.
+/// It borrows its texts from the frame it was read from.
 #[derive(Clone, Debug, Default, PartialEq)]
-pub struct Item {
-    pub name: String,
-    pub value: Option<String>,
-    pub children: Vec<Item>,
+pub struct Item<'a> {
+    pub name: &'a str,
+    pub value: Option<&'a str>,
+    pub children: Vec<Item<'a>>,
     /// Braces stood after it, even if empty.
     pub braced: bool,
 }
 
-impl Item {
+impl<'a> Item<'a> {
     pub fn token(&self) -> Token {
-        Token::of(&self.name)
+        Token::of(self.name)
     }
 
     /// The first child of that token.
-    pub fn child(&self, token: Token) -> Option<&Item> {
+    pub fn child(&self, token: Token) -> Option<&Item<'a>> {
         self.children.iter().find(|c| c.token() == token)
     }
 
-    /// Every `name = value` below this item, at any depth: properties of packages, by their written names.
-    pub fn properties(&self) -> Vec<(&str, &str)> {
-        let mut found = Vec::new();
-        let mut stack: Vec<&Item> = self.children.iter().collect();
-        while let Some(item) = stack.pop() {
-            if let (Some(value), true) = (&item.value, item.children.is_empty()) {
-                found.push((item.name.as_str(), value.as_str()));
-            }
-            stack.extend(item.children.iter());
-        }
-        found
-    }
-
-    pub fn property(&self, name: &str) -> Option<&str> {
-        self.properties().into_iter().find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v)
+    /// The value of the first property of that name (any case), depth first; it allocates nothing.
+    pub fn property(&self, name: &str) -> Option<&'a str> {
+        self.children.iter().find_map(|item| match (item.value, item.children.is_empty()) {
+            (Some(value), true) if item.name.eq_ignore_ascii_case(name) => Some(value),
+            _ => item.property(name),
+        })
     }
 }
 
@@ -86,9 +78,9 @@
 
 /// A frame: the header's mId, if a header stood before the item, and the item.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Frame {
-    pub mid: Option<String>,
-    pub item: Item,
+pub struct Frame<'a> {
+    pub mid: Option<&'a str>,
+    pub item: Item<'a>,
 }
 
 /// Why a frame can't be read, with the byte where it was seen.
@@ -162,7 +154,7 @@
 }
 
 /// Reads a frame that the framer cut: an optional header, then exactly one item.
-pub fn parse(text: &str) -> Result<Frame, SyntaxError> {
+pub fn parse(text: &str) -> Result<Frame<'_>, SyntaxError> {
     let mut lexer = Lexer { text, at: 0 };
     let mut peeked = lexer.next()?;
     let mut mid = None;
@@ -170,7 +162,7 @@
         && is_header(word)
     {
         match lexer.next()? {
-            Some((_, Lexeme::Word(m))) => mid = Some(m.to_owned()),
+            Some((_, Lexeme::Word(m))) => mid = Some(m),
             other => return Err(SyntaxError { at: other.map_or(text.len(), |(at, _)| at), what: "no mId" }),
         }
         peeked = lexer.next()?;
@@ -190,12 +182,16 @@
 type Next<'a> = Option<(usize, Lexeme<'a>)>;
 
 /// One item, starting at `first`; gives the lexeme after it.
-fn item<'a>(lexer: &mut Lexer<'a>, first: Next<'a>, depth: usize) -> Result<(Item, Next<'a>), SyntaxError> {
+fn item<'a>(
+    lexer: &mut Lexer<'a>,
+    first: Next<'a>,
+    depth: usize,
+) -> Result<(Item<'a>, Next<'a>), SyntaxError> {
     let end = lexer.text.len();
     let mut node = match first {
-        Some((_, Lexeme::Word(name))) => Item { name: name.to_owned(), ..Item::default() },
+        Some((_, Lexeme::Word(name))) => Item { name, ..Item::default() },
         Some((_, Lexeme::Quoted(text))) => {
-            return Ok((Item { value: Some(text.to_owned()), ..Item::default() }, lexer.next()?));
+            return Ok((Item { value: Some(text), ..Item::default() }, lexer.next()?));
         }
         Some((at, _)) => return Err(SyntaxError { at, what: "no name where an item begins" }),
         None => return Err(SyntaxError { at: end, what: "no item" }),
@@ -203,7 +199,7 @@
     let mut next = lexer.next()?;
     if let Some((at, Lexeme::Equal)) = next {
         node.value = match lexer.next()? {
-            Some((_, Lexeme::Word(value) | Lexeme::Quoted(value))) => Some(value.to_owned()),
+            Some((_, Lexeme::Word(value) | Lexeme::Quoted(value))) => Some(value),
             _ => return Err(SyntaxError { at, what: "no value after '='" }),
         };
         next = lexer.next()?;
@@ -242,11 +238,11 @@
         let long =
             parse("MEGACO/1 [127.0.0.1]:2944 Transaction = 5 { Context = 7 { Subtract = a } }").unwrap();
         let short = parse("!/1 <x> t=5{c=7{s=a}} ; a comment").unwrap();
-        assert_eq!(long.mid.as_deref(), Some("[127.0.0.1]:2944"));
+        assert_eq!(long.mid, Some("[127.0.0.1]:2944"));
         for frame in [long, short] {
             assert_eq!(frame.item.token(), Token::Transaction);
             let context = frame.item.child(Token::Context).unwrap();
-            assert_eq!((context.value.as_deref(), context.children[0].token()), (Some("7"), Token::Subtract));
+            assert_eq!((context.value, context.children[0].token()), (Some("7"), Token::Subtract));
         }
     }
 
@@ -255,10 +251,7 @@
         let frame =
             parse("P=3{C=9{ER=503{\"stay_away_ms=40\"}},C=8{A=x{M{O{cork/desc=\"v=0 }\",k=1}}}}}").unwrap();
         let error = frame.item.children[0].child(Token::Error).unwrap();
-        assert_eq!(
-            (error.value.as_deref(), error.children[0].value.as_deref()),
-            (Some("503"), Some("stay_away_ms=40"))
-        );
+        assert_eq!((error.value, error.children[0].value), (Some("503"), Some("stay_away_ms=40")));
         assert_eq!(frame.item.property("CORK/DESC"), Some("v=0 }"));
     }
 
--- a/tests/process/text.rs
+++ b/tests/process/text.rs
@@ -32,11 +32,11 @@
         self.stream.write_all(text.as_bytes()).unwrap();
     }
 
-    /// The next item, or none once the connection is closed.
-    pub fn hear(&mut self) -> Option<Item> {
+    /// The text of the next item, or none once the connection is closed; `read` gives its tree.
+    pub fn hear(&mut self) -> Option<String> {
         loop {
             if let Some(frame) = self.framer.next(&mut self.unread).unwrap() {
-                return Some(parse(std::str::from_utf8(&frame).unwrap()).unwrap().item);
+                return Some(String::from_utf8(frame.to_vec()).unwrap());
             }
             let mut bytes = [0; 4096];
             match self.stream.read(&mut bytes) {
@@ -46,17 +46,23 @@
         }
     }
 
-    /// The next item, of this token, for this context; gives it and its transaction id.
-    pub fn expect(&mut self, token: Token, call: u64) -> (Item, u32) {
-        let item = self.hear().expect("an open connection");
+    /// The next item, of this token, for this context; gives its text and its transaction id.
+    pub fn expect(&mut self, token: Token, call: u64) -> (String, u32) {
+        let text = self.hear().expect("an open connection");
+        let item = read(&text);
         assert_eq!(item.token(), token, "{item:?}");
-        let context = item.child(Token::Context).and_then(|c| c.value.clone());
-        assert_eq!(context, Some(call.to_string()), "{item:?}");
-        let transaction = item.value.as_deref().unwrap().parse().unwrap();
-        (item, transaction)
+        let context = item.child(Token::Context).and_then(|c| c.value);
+        assert_eq!(context, Some(call.to_string().as_str()), "{item:?}");
+        let transaction = item.value.unwrap().parse().unwrap();
+        (text, transaction)
     }
 }
 
+/// The tree of an item that was heard.
+pub fn read(text: &str) -> Item<'_> {
+    parse(text).unwrap().item
+}
+
 /// A stand-in text call server's speech, for the JSON lines of the rule suite: what a test says in JSON is said
 /// in text, and what the program says in text is heard as the JSON it would have written.
 pub struct Speech {
@@ -109,9 +115,9 @@
 
     /// The next item as a JSON line, or none once the connection is closed.
     pub fn hear(&mut self, from: &mut BufReader<TcpStream>) -> Option<Value> {
-        let item = loop {
+        let frame = loop {
             if let Some(frame) = self.framer.next(&mut self.unread).unwrap() {
-                break parse(std::str::from_utf8(&frame).unwrap()).unwrap().item;
+                break frame;
             }
             let bytes = from.fill_buf().unwrap_or_else(|e| panic!("text from the program: {e}"));
             if bytes.is_empty() {
@@ -121,15 +127,16 @@
             self.unread.extend_from_slice(bytes);
             from.consume(n);
         };
+        let item = parse(std::str::from_utf8(&frame).unwrap()).unwrap().item;
         let context = item.child(Token::Context).unwrap();
-        let call: u64 = context.value.as_deref().unwrap().parse().unwrap();
+        let call: u64 = context.value.unwrap().parse().unwrap();
         let command = &context.children[0];
         let reference = format!("{call:016x}");
         Some(match (item.token(), command.token()) {
             (Token::Transaction, Token::Add) => {
-                let transaction = item.value.as_deref().unwrap().parse().unwrap();
-                let class = command.value.clone().unwrap();
-                self.set_ups.insert(call, (transaction, class.clone()));
+                let transaction = item.value.unwrap().parse().unwrap();
+                let class = command.value.unwrap();
+                self.set_ups.insert(call, (transaction, class.to_owned()));
                 let mut f = json!({"class": class, "left": command.property("cork/left").unwrap()});
                 if let Some(number) = command.property("cork/number") {
                     f["key"] = json!(number);
@@ -165,8 +172,9 @@
     let mut caller = program.ready_caller();
     caller.set_up(7, 0, 9000);
     let (add, transaction) = pa.expect(Token::Transaction, 7);
+    let add = read(&add);
     let add = &add.child(Token::Context).unwrap().children[0];
-    assert_eq!((add.token(), add.value.as_deref()), (Token::Add, Some("voice")));
+    assert_eq!((add.token(), add.value), (Token::Add, Some("voice")));
     pa.say(&format!("MEGACO/1 <s>\nPending = {transaction} {{}}\n"));
     // The reply comes byte by byte.
     let reply = format!(
@@ -222,6 +230,7 @@
     assert_eq!((new["d"].as_str(), &new["f"]["key"]), (Some(SDP), &json!("7f3a")));
     la.up(7);
     let (reply, transaction) = caller.expect(Token::Reply, 7);
+    let reply = read(&reply);
     assert_eq!(transaction, 5);
     let answered = reply.child(Token::Context).unwrap().children[0].property("cork/desc").map(str::to_owned);
     assert!(answered.is_some_and(|d| d.starts_with("9d41")), "{reply:?}");
@@ -231,7 +240,7 @@
     caller.say("T=6{C=7{S=voice}} } garbage");
     let mut heard = Vec::new();
     while let Some(item) = caller.hear() {
-        heard.push(item.token());
+        heard.push(read(&item).token());
     }
     assert_eq!(heard.last(), Some(&Token::Error), "{heard:?}");
     la.up(8);
@@ -250,5 +259,5 @@
     while let Some(item) = caller.hear() {
         last = Some(item);
     }
-    assert_eq!(last.map(|i| i.token()), Some(Token::Error));
+    assert_eq!(last.map(|i| read(&i).token()), Some(Token::Error));
 }
