Answer a text call server's own requests, as H.248.1 wants every request answered

Need: a text server's Notify (its load report) went unanswered; a real peer would send it again and again.

Change: the server codec keeps the replies it owes (Notify, and requests that mean nothing here) and the connection writes them right after the read; ServerFront has a replies() hook, empty for JSON. An unmapped request now gives the engine a sign of life, so that its reply is not held back until the next message. The stand-ins pass over these replies.

--- a/src/codec/h248/servers.rs
+++ b/src/codec/h248/servers.rs
@@ -40,6 +40,8 @@
     releases: Open<CallId, (u32, String)>,
     /// Classes of calls on their way or standing, for our releases.
     classes: Open<CallId, String>,
+    /// Replies owed to the server's own requests (`Notify`, and those that mean nothing here), to be written.
+    replies: String,
 }
 
 impl ServerCodec {
@@ -51,6 +53,21 @@
             set_ups: Open::default(),
             releases: Open::default(),
             classes: Open::default(),
+            replies: String::new(),
+        }
+    }
+
+    /// The replies owed so far, each a message of its own; taken out.
+    pub fn take_replies(&mut self) -> Vec<u8> {
+        std::mem::take(&mut self.replies).into_bytes()
+    }
+
+    /// H.248.1 §8.2.2: every request gets its reply, or the server sends it again.
+    fn owe(&mut self, transaction: u32, command: &Item) {
+        if self.replies.len() < crate::net::MESSAGE_MAX {
+            header(&self.mid, &mut self.replies);
+            let (name, term) = (command.name, command.value.unwrap_or("-"));
+            self.replies.push_str(&format!("Reply = {transaction} {{Context = - {{{name} = {term}}}}}\n"));
         }
     }
 
@@ -95,8 +112,15 @@
                         self.releases.insert(call, (transaction, class))?;
                         Some(FromServer::Ended { call, how: ending(cause, lines), report: report() })
                     }
-                    (Token::Notify, _) => Some(FromServer::State(report())),
-                    _ => None,
+                    (Token::Notify, _) => {
+                        self.owe(transaction, command);
+                        Some(FromServer::State(report()))
+                    }
+                    // It means nothing here but that the server is there; the reply it is owed goes out with that.
+                    _ => {
+                        self.owe(transaction, command);
+                        Some(FromServer::Sign)
+                    }
                 }
             }
             Token::Error => {
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -148,11 +148,20 @@
 pub trait ServerFront:
     Decoder<Item = FromServer, Error = io::Error> + for<'a> Encoder<&'a ToServer, Error = io::Error>
 {
+    /// What the protocol itself owes the call server for what was read, to be written at once, in no engine's
+    /// words (H.248's replies to a server's own requests); taken out.
+    fn replies(&mut self) -> Vec<u8> {
+        Vec::new()
+    }
 }
 
 impl ServerFront for Codec {}
 
-impl ServerFront for crate::codec::h248::servers::ServerCodec {}
+impl ServerFront for crate::codec::h248::servers::ServerCodec {
+    fn replies(&mut self) -> Vec<u8> {
+        self.take_replies()
+    }
+}
 
 /// What is to be written, and whether the engine wants to know when it is.
 pub type Order = (ToServer, bool);
@@ -214,7 +223,10 @@
             message = framed.next() => match message {
                 Some(Ok(message)) => {
                     halves.got_whole();
-                    events.send(Event::Server { conn, message }).await.map_err(io::Error::other)
+                    match write_replies(&mut framed).await {
+                        Ok(()) => events.send(Event::Server { conn, message }).await.map_err(io::Error::other),
+                        Err(e) => Err(e),
+                    }
                 }
                 Some(Err(e)) => Err(e),
                 None => return Lost::Closed,
@@ -257,6 +269,16 @@
     timeout(WRITE_STALL, framed.flush()).await.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?
 }
 
+/// Writes what the protocol owes the call server for what it said.
+async fn write_replies<C: ServerFront>(framed: &mut Framed<TcpStream, C>) -> io::Result<()> {
+    let replies = framed.codec_mut().replies();
+    if replies.is_empty() {
+        return Ok(());
+    }
+    framed.write_buffer_mut().extend_from_slice(&replies);
+    timeout(WRITE_STALL, framed.flush()).await.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?
+}
+
 async fn confirm(batch: Vec<Order>, conn: ServerConn, events: &mpsc::Sender<Event>) -> io::Result<()> {
     for (message, wanted) in batch {
         if wanted {
--- a/tests/process/text.rs
+++ b/tests/process/text.rs
@@ -48,7 +48,10 @@
 
     /// The next item, of this token, for this context; gives its text and its transaction id.
     pub fn expect(&mut self, token: Token, call: u64) -> (String, u32) {
-        let text = self.hear().expect("an open connection");
+        let mut text = self.hear().expect("an open connection");
+        while owed(&read(&text)) {
+            text = self.hear().expect("an open connection");
+        }
         let item = read(&text);
         assert_eq!(item.token(), token, "{item:?}");
         let context = item.child(Token::Context).and_then(|c| c.value);
@@ -58,6 +61,11 @@
     }
 }
 
+/// A reply to a request of the server's own, as to its `Notify`: it says nothing of a call.
+fn owed(item: &Item) -> bool {
+    item.token() == Token::Reply && item.child(Token::Context).is_some_and(|c| c.value == Some("-"))
+}
+
 /// The tree of an item that was heard.
 pub fn read(text: &str) -> Item<'_> {
     parse(text).unwrap().item
@@ -128,6 +136,9 @@
             from.consume(n);
         };
         let item = parse(std::str::from_utf8(&frame).unwrap()).unwrap().item;
+        if owed(&item) {
+            return self.hear(from);
+        }
         let context = item.child(Token::Context).unwrap();
         let call: u64 = context.value.unwrap().parse().unwrap();
         let command = &context.children[0];
@@ -166,6 +177,16 @@
     (a, b, program, names, pa, pb)
 }
 
+#[test]
+fn a_text_servers_notify_is_answered() {
+    let (_a, _b, _program, _names, mut pa, _pb) = text_servers();
+    let reply = pa.hear().unwrap();
+    assert_eq!((read(&reply).token(), read(&reply).value), (Token::Reply, Some("1")));
+    pa.say("T=77{C=-{MF=ROOT}}");
+    let reply = pa.hear().unwrap();
+    assert_eq!(read(&reply).value, Some("77"));
+}
+
 #[test]
 fn a_binary_caller_is_served_by_a_text_server() {
     let (_a, _b, program, _names, mut pa, _pb) = text_servers();
