Read text items for both codecs in one place

Change: h248::next frames, checks and reads the first item that the codec makes a message of; a caller's ErrorDescriptor is now refused inside its reader like any other item it can't take.

--- a/src/codec/h248/callers.rs
+++ b/src/codec/h248/callers.rs
@@ -11,8 +11,8 @@
 //! engine sees one set-up and the caller gets one reply.
 
 use super::frame::Framer;
-use super::tree::{Item, Token, parse};
-use super::{Open, context, header, quote, syntax, unquote};
+use super::tree::{Item, Token};
+use super::{Open, context, header, next, quote, syntax, unquote};
 use crate::engine::{Fault, FromCaller, Release, SetUp, ToCaller};
 use crate::interface::CallId;
 use crate::net::MESSAGE_MAX;
@@ -84,6 +84,9 @@
         let transaction: Option<u32> = item.value.and_then(|v| v.parse().ok());
         match item.token() {
             Token::Pending | Token::ResponseAck => return Ok(None),
+            Token::Error => {
+                return Err(syntax(format!("the caller says error {}", item.value.unwrap_or_default())));
+            }
             Token::Reply => {
                 let heard = item.children.iter().filter(|c| c.token() == Token::Context);
                 return Ok(heard
@@ -167,20 +170,10 @@
     type Error = io::Error;
 
     fn decode(&mut self, bytes: &mut BytesMut) -> io::Result<Option<FromCaller>> {
-        while let Some(frame) = self.framer.next(bytes)? {
-            let text = std::str::from_utf8(&frame).map_err(syntax)?;
-            let frame = parse(text).map_err(syntax)?;
-            if frame.item.token() == Token::Error {
-                return Err(syntax(format!(
-                    "the caller says error {}",
-                    frame.item.value.unwrap_or_default()
-                )));
-            }
-            if let Some(message) = self.read(&frame.item)? {
-                return Ok(Some(message));
-            }
-        }
-        Ok(None)
+        let mut framer = std::mem::take(&mut self.framer);
+        let message = next(&mut framer, bytes, |item| self.read(item));
+        self.framer = framer;
+        message
     }
 }
 
--- a/src/codec/h248/mod.rs
+++ b/src/codec/h248/mod.rs
@@ -46,6 +46,23 @@
     value?.parse().ok()
 }
 
+/// The first item in `bytes` that `read` makes a message of; items it passes over are used up. Errors: an item
+/// that can't be framed or read, or what `read` gives.
+fn next<T>(
+    framer: &mut frame::Framer,
+    bytes: &mut bytes::BytesMut,
+    mut read: impl FnMut(&tree::Item) -> io::Result<Option<T>>,
+) -> io::Result<Option<T>> {
+    while let Some(frame) = framer.next(bytes)? {
+        let text = std::str::from_utf8(&frame).map_err(syntax)?;
+        let frame = tree::parse(text).map_err(syntax)?;
+        if let Some(message) = read(&frame.item)? {
+            return Ok(Some(message));
+        }
+    }
+    Ok(None)
+}
+
 fn syntax(error: impl std::fmt::Display) -> io::Error {
     io::Error::new(io::ErrorKind::InvalidData, error.to_string())
 }
--- a/src/codec/h248/servers.rs
+++ b/src/codec/h248/servers.rs
@@ -13,8 +13,8 @@
 //! Load reports travel in `cork/load` as the JSON-lines servers write them (`x0:12;x1:40;queue:3`).
 
 use super::frame::Framer;
-use super::tree::{Item, Token, parse};
-use super::{Open, context, header, quote, syntax, unquote};
+use super::tree::{Item, Token};
+use super::{Open, context, header, next, quote, syntax, unquote};
 use crate::engine::{Ending, FromServer, ToServer};
 use crate::interface::{CallId, LoadReport};
 use crate::net::MESSAGE_MAX;
@@ -136,14 +136,10 @@
     type Error = io::Error;
 
     fn decode(&mut self, bytes: &mut BytesMut) -> io::Result<Option<FromServer>> {
-        while let Some(frame) = self.framer.next(bytes)? {
-            let text = std::str::from_utf8(&frame).map_err(syntax)?;
-            let frame = parse(text).map_err(syntax)?;
-            if let Some(message) = self.read(&frame.item)? {
-                return Ok(Some(message));
-            }
-        }
-        Ok(None)
+        let mut framer = std::mem::take(&mut self.framer);
+        let message = next(&mut framer, bytes, |item| self.read(item));
+        self.framer = framer;
+        message
     }
 }
 
