Test two text set-ups in one read as two calls answered in their own order

Change: a process test sends two Adds in one write from a text caller; the JSON server answers them in the other order, and each reply names its own transaction.

Measured: passes in both runs of the suite; no program code changed.

--- a/tests/process/text.rs
+++ b/tests/process/text.rs
@@ -282,3 +282,21 @@
     }
     assert_eq!(last.map(|i| read(&i).token()), Some(Token::Error));
 }
+
+#[test]
+fn two_text_set_ups_in_one_read_are_two_calls() {
+    let a = Server::json("s-a", 0);
+    let (program, _names, text) = start_fronts(&[&a], "text:\n  listen: 127.0.0.1:0\n", true);
+    let mut la = a.accept();
+    let _ready = program.ready_caller();
+    let mut caller = Peer::connect(text.unwrap());
+    let add =
+        |t: u32, call: u64| format!("T={t}{{C={call}{{A=voice{{O{{cork/wait=9000,cork/desc=\"v=0\"}}}}}}}}");
+    caller.say(&format!("MEGACO/1 <c>\n{}\n{}\n", add(1, 21), add(2, 22)));
+    la.expect("new", 21);
+    la.expect("new", 22);
+    la.up(22);
+    la.up(21);
+    assert_eq!(caller.expect(Token::Reply, 22).1, 2);
+    assert_eq!(caller.expect(Token::Reply, 21).1, 1);
+}
