--- a/src/engine/calls.rs
+++ b/src/engine/calls.rs
@@ -309,6 +309,17 @@
             return self.tell_ended(id, server, Outcome::NotSent, false, LoadReport::default());
         };
         let number = call.attempts;
+        if let Some(limits) = self.limits.as_mut() {
+            if number == 0 {
+                limits.first_sent(server, now);
+            } else if !limits.may_retry(server, now) {
+                // The budget of second attempts at this call server is spent: the call is answered now.
+                let stay_away_ms = limits.stay_away_ms(self.stay_away_max_ms);
+                log::debug!("call {:016x}: a retry is shed by the budget", id.0);
+                self.tell_ended(id, server, Outcome::NotSent, true, LoadReport::default());
+                return self.answer(id, ToCaller::Refused { call: id, stay_away_ms }, out);
+            }
+        }
         call.attempts += 1;
         call.attempt = Some(Attempt { number, server, sent_at: now, stage: Stage::Waiting });
         if timeout_ms > 0.0 {
--- a/src/engine/fleet.rs
+++ b/src/engine/fleet.rs
@@ -181,6 +181,9 @@
         self.end_waiting(id, Outcome::NotSent);
         self.fleet.servers.remove(&id);
         self.fleet.ids.retain(|_, known| *known != id);
+        if let Some(limits) = self.limits.as_mut() {
+            limits.forget(id);
+        }
     }
 
     // ---- connections ----
@@ -218,6 +221,13 @@
         out.push(Effect::Dial { conn, addr: s.listing.addr, timeout_ms: self.host.dial_timeout_ms });
     }
 
+    /// Dials a call server again later: after `REDIAL_MS`, or as the fleet limits pace it.
+    fn redial_later(&mut self, server: ServerId) {
+        let (now, siblings) = (self.now, self.siblings);
+        let gap = self.limits.as_mut().map_or(REDIAL_MS, |l| l.redial_after(server, now, siblings));
+        self.timers.set(now + gap, Due::Redial(server));
+    }
+
     pub(super) fn redial(&mut self, server: ServerId, out: &mut Vec<Effect>) {
         if self.fleet.servers.get(&server).is_some_and(|s| !s.dialling()) {
             self.dial(server, out);
@@ -230,6 +240,9 @@
         if let Some(c) = s.conns.iter_mut().find(|c| c.id == conn) {
             (c.open, c.opened_at, c.heard_at) = (true, self.now, self.now);
         }
+        if let Some(limits) = self.limits.as_mut() {
+            limits.reached(server);
+        }
         for call in std::mem::take(&mut s.owed) {
             out.push(Effect::ToServer { conn, message: ToServer::Release(call), confirm: false });
         }
@@ -255,7 +268,7 @@
             (s.tried, s.failed) = (true, s.failed + 1);
             if alone {
                 self.end_waiting(server, Outcome::NotConnected);
-                self.timers.set(self.now + REDIAL_MS, Due::Redial(server));
+                self.redial_later(server);
             }
         } else if lived_ms >= REDIAL_MS {
             // What ended meanwhile, and what was told on the lost connection and never heard, is told on the next
@@ -264,7 +277,7 @@
         } else {
             // One that closes every connection at once is not to be dialled in a tight loop. What was told on this
             // one comes again on the next, so there is to be one, also if others are open.
-            self.timers.set(self.now + REDIAL_MS, Due::Redial(server));
+            self.redial_later(server);
         }
     }
 
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -16,6 +16,7 @@
 pub use messages::*;
 
 use crate::interface::{self as module, Action, CallId, Outcome, ServerId, Settings};
+use crate::limits::Limits;
 use crate::policy::Controller;
 use crate::settings::HostSettings;
 use callers::Callers;
@@ -55,6 +56,11 @@
     host: HostSettings,
     guard_ms: f64,
     max_attempts: u32,
+    /// Border controllers in this tier and the longest advice callers heed: what the limits go by.
+    siblings: u32,
+    stay_away_max_ms: f64,
+    /// The fleet limits, where the operator's file turns them on.
+    limits: Option<Limits>,
     callers: Callers,
     calls: Calls,
     fleet: Fleet,
@@ -83,6 +89,9 @@
         Engine {
             guard_ms: settings.guard_ms,
             max_attempts: settings.max_attempts,
+            siblings: settings.siblings,
+            stay_away_max_ms: settings.stay_away_max_ms,
+            limits: None,
             controller: Controller::new(settings, seed, now),
             host,
             callers: Callers::default(),
@@ -101,6 +110,12 @@
         }
     }
 
+    /// Turns on the fleet limits: retry budgets, back-off and pacing of dials (`crate::limits`).
+    pub fn with_limits(mut self, limits: Limits) -> Self {
+        self.limits = Some(limits);
+        self
+    }
+
     /// When the next timer is due.
     pub fn next_due(&self) -> Option<f64> {
         self.timers.next_ms()
@@ -198,6 +213,7 @@
             return log::error!("other classes need a restart: the settings stay as they were");
         }
         (self.guard_ms, self.max_attempts, self.host) = (settings.guard_ms, settings.max_attempts, host);
+        (self.siblings, self.stay_away_max_ms) = (settings.siblings, settings.stay_away_max_ms);
         self.news.push_back(module::Event::Settings(settings));
     }
 
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,6 +2,7 @@
 
 use argh::{EarlyExit, FromArgs};
 use corkreach::fronts::Fronts;
+use corkreach::limits::LimitSettings;
 use corkreach::{config, logger, net};
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -38,6 +39,9 @@
     /// the operator's file of further fronts, YAML (else GW_FRONTS, else none: only the platform's own)
     #[argh(option)]
     fronts: Option<PathBuf>,
+    /// the operator's file of fleet limits, YAML (else GW_LIMITS, else none: no retry budget, fixed redials)
+    #[argh(option)]
+    limits: Option<PathBuf>,
     /// least weighty log lines written: error, warn, info, debug or trace (info)
     #[argh(option, default = "log::LevelFilter::Info")]
     log: log::LevelFilter,
@@ -80,8 +84,10 @@
             let config = source.read()?;
             let fronts = serve.fronts.or_else(|| std::env::var_os("GW_FRONTS").map(PathBuf::from));
             let fronts = fronts.map_or_else(|| Ok(Fronts::default()), |path| Fronts::read(&path))?;
+            let limits = serve.limits.or_else(|| std::env::var_os("GW_LIMITS").map(PathBuf::from));
+            let limits = limits.map(|path| LimitSettings::read(&path)).transpose()?;
             logger::start(&config.name, serve.log)?;
-            net::driver::run(config, source, fronts)
+            net::driver::run(config, source, fronts, limits)
         }
         Command::Check(check) => {
             let config = source(check.config, None, None)?.read()?;
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -9,6 +9,7 @@
     CallerConn, Effect, Engine, Event, OperatorAnswer, OperatorAsk, OperatorConn, ServerConn, ToCaller,
 };
 use crate::fronts::Fronts;
+use crate::limits::{LimitSettings, Limits};
 use std::cell::Cell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -53,13 +54,23 @@
 }
 
 /// Runs the border controller until it is stopped.
-pub fn run(config: Config, source: Source, fronts: Fronts) -> Result<(), String> {
+pub fn run(
+    config: Config,
+    source: Source,
+    fronts: Fronts,
+    limits: Option<LimitSettings>,
+) -> Result<(), String> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
-    LocalSet::new().block_on(&runtime, serve(config, source, fronts))
+    LocalSet::new().block_on(&runtime, serve(config, source, fronts, limits))
 }
 
-async fn serve(mut config: Config, source: Source, fronts: Fronts) -> Result<(), String> {
+async fn serve(
+    mut config: Config,
+    source: Source,
+    fronts: Fronts,
+    limits: Option<LimitSettings>,
+) -> Result<(), String> {
     // First of all: a SIGHUP without a handler ends the program.
     let mut hangups = signal(SignalKind::hangup()).map_err(|e| format!("signals: {e}"))?;
     let bound = |at| listeners::bind(at).map_err(|e| format!("listening on {at}: {e}"));
@@ -76,7 +87,7 @@
         }
         None => None,
     };
-    let mut driver = Driver::new(&config, sender.clone(), names, fronts);
+    let mut driver = Driver::new(&config, sender.clone(), names, fronts, limits);
     tokio::task::spawn_local(beat(driver.clock.clone()));
     tokio::task::spawn_local(names::poll(at, config.seed, sender));
     let listening = listener.local_addr().map_err(|e| format!("listening: {e}"))?;
@@ -169,9 +180,14 @@
         events: mpsc::Sender<Event>,
         names: watch::Sender<SocketAddr>,
         fronts: Fronts,
+        limits: Option<LimitSettings>,
     ) -> Self {
         let clock = Clock::default();
-        let engine = Engine::new(config.settings.clone(), config.host.clone(), config.seed, clock.now());
+        let mut engine = Engine::new(config.settings.clone(), config.host.clone(), config.seed, clock.now());
+        if let Some(settings) = limits {
+            log::info!("fleet limits on: {settings:?}");
+            engine = engine.with_limits(Limits::new(settings, config.seed));
+        }
         Driver {
             engine,
             clock,
