Start five processes behind a fault proxy to test the fleet limits under faults

Change: tests/lab: a stand-in call server that answers by itself (answer, full, cut, mute), a fault proxy (pass, reset, blackhole, seeded delay), and fleets of real processes with siblings set to their number and a name service each. The text speech of the process suite moved to its own file, so the lab can use it without its tests.

--- a/src/engine/fleet.rs
+++ b/src/engine/fleet.rs
@@ -240,9 +240,6 @@
         if let Some(c) = s.conns.iter_mut().find(|c| c.id == conn) {
             (c.open, c.opened_at, c.heard_at) = (true, self.now, self.now);
         }
-        if let Some(limits) = self.limits.as_mut() {
-            limits.reached(server);
-        }
         for call in std::mem::take(&mut s.owed) {
             out.push(Effect::ToServer { conn, message: ToServer::Release(call), confirm: false });
         }
@@ -323,6 +320,10 @@
                 (c.heard_first, c.heard, c.heard_at) = (!c.heard, true, now);
             }
         }
+        // A connection that opens and is cut before a word does not count as reaching the call server.
+        if let Some(limits) = self.limits.as_mut() {
+            limits.reached(server);
+        }
         match message {
             FromServer::Answer { call, description } => {
                 let own = self.calls.set_up_on(call, server);
--- a/src/limits/pacing.rs
+++ b/src/limits/pacing.rs
@@ -56,7 +56,7 @@
     fn dials(fleet: u32, span_ms: f64) -> usize {
         (0..fleet)
             .map(|i| {
-                let mut p = Pacing::new(2.0, 0x5eed ^ u64::from(i) * 0x9e37_79b9);
+                let mut p = Pacing::new(2.0, 0x5eed ^ (u64::from(i) * 0x9e37_79b9));
                 let mut at = 0.0;
                 let mut n = 0;
                 while at < span_ms {
--- /dev/null
+++ b/tests/lab/main.rs
@@ -0,0 +1,230 @@
+//! The fleet lab: several processes of the program in front of stand-in call servers, with a fault proxy
+//! between them, and the figures that tell whether the fleet adds up to harm when a call server is weakest.
+//!
+//! Each test plays the same fault with the fleet limits off and on, in one run, and holds the limited figure to
+//! its bound; the unlimited one is asserted to pass the bound, so that each test is seen to fail without them.
+
+#[allow(dead_code)]
+#[path = "../process/rig.rs"]
+mod rig;
+#[allow(dead_code)]
+#[path = "../process/speech.rs"]
+mod speech;
+
+mod fleet;
+mod proxy;
+mod standin;
+
+use proxy::{Fault, Proxy};
+use standin::{Mode, StandIn};
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+/// The shipped limits, as operators would start from them.
+const LIMITS: &str = include_str!("../../deploy/limits.yaml");
+
+/// Waits until every instance passes tests.
+fn all_ready(fleet: &fleet::Fleet) -> Vec<rig::Caller> {
+    fleet.instances.iter().map(fleet::Instance::ready_caller).collect()
+}
+
+/// Dials that reach a call server whose process is gone, a second, with `n` instances in front of it: the proxy
+/// resets every connection, as a host whose call server died does.
+fn dials_at_a_dead_server(n: usize, limits: Option<&str>, span: Duration) -> f64 {
+    let (a, b) = (StandIn::start(Mode::Answer), StandIn::start(Mode::Answer));
+    let proxy = Proxy::start(a.addr, 11);
+    let fleet = fleet::start(n, &[("s-a", proxy.addr), ("s-b", b.addr)], limits);
+    let _callers = all_ready(&fleet);
+    proxy.set(Fault::Reset);
+    // The first cut and the first redials of every instance are let pass; then the steady rate is counted.
+    std::thread::sleep(Duration::from_secs(1));
+    let (from, since) = (proxy.accepted(), Instant::now());
+    while since.elapsed() < span {
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    (proxy.accepted() - from) as f64 / since.elapsed().as_secs_f64()
+}
+
+#[test]
+fn redials_of_a_crashed_server_stay_under_the_fleet_ceiling_with_five_instances() {
+    let span = Duration::from_secs(4);
+    let without = dials_at_a_dead_server(5, None, span);
+    let with = dials_at_a_dead_server(5, Some(LIMITS), span);
+    // The shipped ceiling is 2 dials a second for the whole fleet; one more for the phase each instance finds.
+    assert!(with <= 3.0, "with limits: {with:.1} dials a second");
+    assert!(without > 6.0, "without limits the fleet dials in step: {without:.1} a second");
+}
+
+/// What a caller heard of the set-ups it offered.
+#[derive(Default, Debug)]
+struct Heard {
+    offered: u64,
+    answered: u64,
+    refused: u64,
+    other: u64,
+}
+
+/// Offers set-ups on one caller for `span`, `depth` at a time, and offers the next at once on every final
+/// answer: a caller retry storm. Every set-up is held to one final answer.
+fn storm(mut caller: rig::Caller, span: Duration, depth: u64, base: u64) -> Heard {
+    let mut heard = Heard::default();
+    let mut open: HashMap<u64, bool> = HashMap::new();
+    let mut next = base;
+    let mut offer = |caller: &mut rig::Caller, open: &mut HashMap<u64, bool>, heard: &mut Heard| {
+        caller.set_up(next, 0, 2000);
+        open.insert(next, false);
+        (next, heard.offered) = (next + 1, heard.offered + 1);
+    };
+    for _ in 0..depth {
+        offer(&mut caller, &mut open, &mut heard);
+    }
+    let since = Instant::now();
+    while !open.is_empty() {
+        let (kind, call, parameters) = caller.hear().expect("the instance keeps the caller's connection");
+        match (kind, open.get(&call).copied()) {
+            (9, Some(false)) => {
+                open.insert(call, true);
+                heard.answered += 1;
+            }
+            (12, Some(standing)) => {
+                open.remove(&call);
+                let cause = parameters.iter().find(|(code, _)| *code == 143).map(|(_, v)| v.as_str());
+                if !standing && cause == Some("42") {
+                    heard.refused += 1;
+                } else if !standing {
+                    heard.other += 1;
+                }
+                if since.elapsed() < span {
+                    offer(&mut caller, &mut open, &mut heard);
+                }
+            }
+            _ => panic!("call {call} heard {kind} {parameters:?} out of turn: a second final answer"),
+        }
+    }
+    heard
+}
+
+/// Set-ups that reach a call server in this mode, for each set-up offered by the callers of `n` instances
+/// that offer the next at once on every final answer.
+fn attempts_per_offered(n: usize, mode: Mode, limits: Option<&str>) -> f64 {
+    attempts_per_offered_with(n, &[mode], limits)
+}
+
+/// The same with a call server in each mode, the first the callers' first choice; set-ups at all are counted.
+fn attempts_per_offered_with(n: usize, modes: &[Mode], limits: Option<&str>) -> f64 {
+    let servers: Vec<StandIn> = modes.iter().map(|&m| StandIn::start(m)).collect();
+    let names = ["s-a", "s-b", "s-c"];
+    let listed: Vec<_> = servers.iter().zip(names).map(|(s, name)| (name, s.addr)).collect();
+    let fleet = fleet::start(n, &listed, limits);
+    let callers = all_ready(&fleet);
+    let set_ups = || servers.iter().map(StandIn::set_ups).sum::<u64>();
+    let before = set_ups();
+    let threads: Vec<_> = callers
+        .into_iter()
+        .enumerate()
+        .map(|(i, caller)| {
+            std::thread::spawn(move || storm(caller, Duration::from_secs(3), 4, (i as u64 + 1) << 32))
+        })
+        .collect();
+    let heard: Vec<Heard> = threads.into_iter().map(|t| t.join().unwrap()).collect();
+    let offered: u64 = heard.iter().map(|h| h.offered).sum();
+    assert!(heard.iter().all(|h| h.answered + h.refused + h.other == h.offered), "{heard:?}");
+    let counts: Vec<u64> = servers.iter().map(StandIn::set_ups).collect();
+    log_counts(&heard, &counts);
+    (set_ups() - before) as f64 / offered as f64
+}
+
+/// A full server is held back by percent blocking alone: its reports raise *b*, and the module refuses first
+/// set-ups itself, limits or not. This is the case the budget must leave as it is.
+#[test]
+fn a_retry_storm_at_a_full_server_is_held_back_by_percent_blocking_with_or_without_limits() {
+    let without = attempts_per_offered(5, Mode::Full, None);
+    let with = attempts_per_offered(5, Mode::Full, Some(LIMITS));
+    assert!(
+        without <= 1.1 && with <= 1.1,
+        "attempts per offered set-up: {without:.3} without, {with:.3} with"
+    );
+}
+
+/// A server that cuts every set-up, or never answers one, while it reports good health: each instance's
+/// module counts its failures and sends first set-ups to the other server, so second attempts stay few. With
+/// the budget on the figure must stay at or under 1 + its share (a tenth, and one a second per instance).
+#[test]
+fn a_retry_storm_beside_a_server_that_cuts_or_keeps_set_ups_stays_within_the_retry_budget() {
+    for bad in [Mode::Reset, Mode::Mute] {
+        let modes = [bad, Mode::Answer];
+        let without = attempts_per_offered_with(5, &modes, None);
+        let with = attempts_per_offered_with(5, &modes, Some(LIMITS));
+        eprintln!("{bad:?}: attempts per offered set-up {without:.2} without limits, {with:.2} with");
+        assert!(with <= 1.1, "{bad:?} with limits: {with:.2} attempts per offered set-up");
+    }
+}
+
+/// The engine asks the budget before a second attempt: with none left, the call is refused at once with advice
+/// to stay away, and the other call server never sees it. Without limits it goes there.
+#[test]
+fn a_second_attempt_without_budget_is_refused_at_once_with_stay_away() {
+    let none_left = "retry_budget:\n  ratio: 0\n  min_per_s: 0\n  stay_away_ms: 1500\n";
+    for limits in [None, Some(none_left)] {
+        let (a, b) = (rig::Server::json("s-a", 0), rig::Server::json("s-b", 1));
+        let fleet = fleet::start(1, &[("s-a", a.listed.addr), ("s-b", b.listed.addr)], limits);
+        let (mut la, mut lb) = (a.accept(), b.accept());
+        let mut caller = fleet.instances[0].ready_caller();
+        caller.set_up(7, 0, 9000);
+        la.expect("new", 7);
+        la.down(7, 34, serde_json::json!({"note": "ovl", "load": "x0:90;x1:100;latency_ms:4000;qps:1"}));
+        if limits.is_none() {
+            lb.expect("new", 7);
+            continue;
+        }
+        let (_, _, parameters) = caller.expect(12, 7, Some(42));
+        let stay_away: u32 = parameters.iter().find(|(code, _)| *code == 135).unwrap().1.parse().unwrap();
+        assert!((1..=1500).contains(&stay_away), "{stay_away}");
+        assert!(caller.test(), "the refused call left the instance in service");
+    }
+}
+
+fn log_counts(heard: &[Heard], counts: &[u64]) {
+    eprintln!("{heard:?} set-ups at the servers {counts:?}");
+}
+
+/// Callers at every instance, each offering the next set-up at once on every final answer, for `span`.
+fn storms(fleet: &fleet::Fleet, span: Duration) -> Vec<std::thread::JoinHandle<Heard>> {
+    let callers = all_ready(fleet);
+    callers
+        .into_iter()
+        .enumerate()
+        .map(|(i, caller)| std::thread::spawn(move || storm(caller, span, 4, (i as u64 + 1) << 32)))
+        .collect()
+}
+
+/// The links from two of five instances to a call server fall silent (blackhole) and come back, then turn
+/// slow (up to 1.5 s a read, near the callers' 2 s): every set-up keeps exactly one final answer, and the cut
+/// off instances go on serving their callers from the other server.
+#[test]
+fn a_blackholed_then_slow_link_from_two_of_five_instances_leaves_every_call_one_final_answer() {
+    let (a, b) = (StandIn::start(Mode::Answer), StandIn::start(Mode::Answer));
+    let proxies: Vec<Proxy> = (0..5).map(|i| Proxy::start(a.addr, 40 + i)).collect();
+    let fleet = fleet::start_each(5, |i| vec![("s-a", proxies[i].addr), ("s-b", b.addr)], Some(LIMITS));
+    let storms = storms(&fleet, Duration::from_secs(7));
+    std::thread::sleep(Duration::from_secs(1));
+    let at_b = b.set_ups();
+    for proxy in &proxies[..2] {
+        proxy.set(Fault::Blackhole);
+    }
+    std::thread::sleep(Duration::from_secs(3));
+    let moved = b.set_ups() - at_b;
+    for proxy in &proxies[..2] {
+        proxy.set_delay(1500);
+    }
+    std::thread::sleep(Duration::from_secs(2));
+    for proxy in &proxies[..2] {
+        proxy.set(Fault::Pass);
+    }
+    let heard: Vec<Heard> = storms.into_iter().map(|t| t.join().unwrap()).collect();
+    eprintln!("{heard:?}; {moved} set-ups at the other server while the links were silent");
+    for h in &heard[..2] {
+        assert!(h.answered > 0, "a cut off instance still serves its callers: {h:?}");
+    }
+    assert!(moved > 0);
+}
--- /dev/null
+++ b/tests/lab/standin.rs
@@ -0,0 +1,132 @@
+//! A stand-in call server that answers by itself, as the platform's JSON-lines protocol describes, and counts
+//! what reaches it: connections and set-ups.
+
+use serde_json::{Value, json};
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU64, Ordering};
+use std::time::Duration;
+
+/// How it answers set-ups.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[repr(u8)]
+pub enum Mode {
+    /// The call stands, and ends at once in the normal way.
+    Answer = 0,
+    /// The processor is full: every set-up is turned away (cause 34), with a report that says so.
+    Full = 1,
+    /// Every set-up is cut (cause 41) while the reports say all is well: a server that fails calls, not one
+    /// that is short of room, so percent blocking does not hold it back.
+    Reset = 2,
+    /// Set-ups are taken and never answered, while the reports say all is well: a server too slow for its
+    /// callers.
+    Mute = 3,
+}
+
+#[derive(Default)]
+pub struct Counts {
+    pub conns: AtomicU64,
+    pub set_ups: AtomicU64,
+}
+
+pub struct StandIn {
+    pub addr: SocketAddr,
+    pub counts: Arc<Counts>,
+    stop: Arc<AtomicBool>,
+}
+
+impl StandIn {
+    pub fn start(mode: Mode) -> StandIn {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        listener.set_nonblocking(true).unwrap();
+        let addr = listener.local_addr().unwrap();
+        let (counts, mode, stop) = (
+            Arc::new(Counts::default()),
+            Arc::new(AtomicU8::new(mode as u8)),
+            Arc::new(AtomicBool::new(false)),
+        );
+        let (c, m, s) = (counts.clone(), mode, stop.clone());
+        std::thread::spawn(move || {
+            while !s.load(Ordering::Relaxed) {
+                match listener.accept() {
+                    Ok((stream, _)) => {
+                        c.conns.fetch_add(1, Ordering::Relaxed);
+                        let (c, m, s) = (c.clone(), m.clone(), s.clone());
+                        std::thread::spawn(move || serve(stream, &c, &m, &s));
+                    }
+                    Err(_) => std::thread::sleep(Duration::from_millis(2)),
+                }
+            }
+        });
+        StandIn { addr, counts, stop }
+    }
+
+    pub fn set_ups(&self) -> u64 {
+        self.counts.set_ups.load(Ordering::Relaxed)
+    }
+}
+
+impl Drop for StandIn {
+    fn drop(&mut self) {
+        self.stop.store(true, Ordering::Relaxed);
+    }
+}
+
+fn line(stream: &mut TcpStream, value: Value) -> std::io::Result<()> {
+    stream.write_all(format!("{value}\n").as_bytes())
+}
+
+fn serve(stream: TcpStream, counts: &Counts, mode: &AtomicU8, stop: &AtomicBool) {
+    let mut writer = stream.try_clone().unwrap();
+    stream.set_read_timeout(Some(Duration::from_millis(50))).unwrap();
+    let zero = "0000000000000000";
+    if line(&mut writer, json!({"t": "gauge", "ref": zero, "f": {"load": "x0:90;x1:100;latency_ms:-1"}}))
+        .is_err()
+    {
+        return;
+    }
+    let mut lines = BufReader::new(stream);
+    let mut text = String::new();
+    while !stop.load(Ordering::Relaxed) {
+        match lines.read_line(&mut text) {
+            Ok(0) => return,
+            Ok(_) => {}
+            Err(e) if matches!(e.kind(), std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut) => {
+                continue;
+            }
+            Err(_) => return,
+        }
+        let Ok(heard) = serde_json::from_str::<Value>(&text) else { return };
+        text.clear();
+        let call = heard["ref"].clone();
+        let said = match heard["t"].as_str() {
+            Some("new") => {
+                counts.set_ups.fetch_add(1, Ordering::Relaxed);
+                let mode = mode.load(Ordering::Relaxed);
+                if mode == Mode::Mute as u8 {
+                    Ok(())
+                } else if mode == Mode::Reset as u8 {
+                    let load = "x0:80;x1:100;latency_ms:5;can_take:400";
+                    line(&mut writer, json!({"t": "down", "ref": call, "f": {"load": load}, "c": 41}))
+                } else if mode == Mode::Full as u8 {
+                    let load = "x0:0;x1:100;latency_ms:3000;can_take:1";
+                    line(
+                        &mut writer,
+                        json!({"t": "down", "ref": call, "f": {"note": "ovl", "load": load}, "c": 34}),
+                    )
+                } else {
+                    let load = "x0:80;x1:100;latency_ms:5;can_take:400";
+                    line(&mut writer, json!({"t": "up", "ref": call, "f": {}, "d": "v=0"})).and_then(|()| {
+                        line(&mut writer, json!({"t": "down", "ref": call, "f": {"load": load}, "c": 16}))
+                    })
+                }
+            }
+            Some("down") => line(&mut writer, json!({"t": "ack", "ref": call, "f": {}})),
+            _ => Ok(()),
+        };
+        if said.is_err() {
+            return;
+        }
+    }
+}
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -1,6 +1,7 @@
 //! The program as a process, seen from its callers, its call servers and its name service.
 
 mod rig;
+mod speech;
 mod text;
 
 use rig::*;
--- a/tests/process/rig.rs
+++ b/tests/process/rig.rs
@@ -177,14 +177,14 @@
 /// (`text::Speech`) and the program is told so, while tests read and write the same JSON lines as ever.
 pub struct Link {
     lines: BufReader<TcpStream>,
-    text: Option<crate::text::Speech>,
+    text: Option<crate::speech::Speech>,
 }
 
 impl Link {
     fn new(stream: TcpStream, text: bool) -> Link {
         stream.set_nonblocking(false).unwrap();
         stream.set_read_timeout(Some(PATIENCE)).unwrap();
-        let text = text.then(crate::text::Speech::default);
+        let text = text.then(crate::speech::Speech::default);
         Link { lines: BufReader::new(stream), text }
     }
 
@@ -479,7 +479,7 @@
 pub fn run(arguments: &[&str]) -> Command {
     let mut command = Command::new(env!("CARGO_BIN_EXE_corkreach"));
     command.args(arguments);
-    for variable in ["GW_CONFIG", "GW_LISTEN", "GW_MANAGEMENT", "GW_NAME"] {
+    for variable in ["GW_CONFIG", "GW_LISTEN", "GW_MANAGEMENT", "GW_NAME", "GW_FRONTS", "GW_LIMITS"] {
         command.env_remove(variable);
     }
     command
