--- a/src/engine/messages.rs
+++ b/src/engine/messages.rs
@@ -53,6 +53,8 @@
     /// Call servers on the list, and how many of them are avoided at present.
     pub known: usize,
     pub skipped: usize,
+    /// What the fleet limits shed and let through, where they are on.
+    pub limits: Option<crate::limits::Shed>,
 }
 
 /// A set-up as its caller sent it.
--- a/src/engine/operators.rs
+++ b/src/engine/operators.rs
@@ -56,6 +56,7 @@
             in_progress: self.calls.in_progress(),
             known: self.fleet.known(),
             skipped: self.fleet.ids_listed().filter(|&id| self.skips(id)).count(),
+            limits: self.limits.as_ref().map(crate::limits::Limits::shed),
         }
     }
 
--- a/src/net/operators.rs
+++ b/src/net/operators.rs
@@ -182,5 +182,29 @@
     for (name, kind, n) in gauges {
         let _ = writeln!(text, "# TYPE gw_{name} {kind}\ngw_{name} {n}");
     }
+    // Only where the fleet limits are on, so that a scrape of a program without them is as it was.
+    if let Some(shed) = figures.limits {
+        let _ = writeln!(text, "# TYPE gw_retries counter");
+        for (outcome, n) in [("sent", shed.retries_sent), ("shed", shed.retries)] {
+            let _ = writeln!(text, "gw_retries{{outcome=\"{outcome}\"}} {n}");
+        }
+    }
     text
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn retries_are_shown_only_where_the_fleet_limits_are_on() {
+        let off = Figures::default();
+        assert!(!text(&off).contains("gw_retries"));
+        let shed = crate::limits::Shed { retries: 3, retries_sent: 5, firsts: 40 };
+        let on = text(&Figures { limits: Some(shed), ..Figures::default() });
+        assert!(
+            on.contains("gw_retries{outcome=\"sent\"} 5\n")
+                && on.contains("gw_retries{outcome=\"shed\"} 3\n")
+        );
+    }
+}
--- a/tests/lab/main.rs
+++ b/tests/lab/main.rs
@@ -50,11 +50,28 @@
     let span = Duration::from_secs(4);
     let without = dials_at_a_dead_server(5, None, span);
     let with = dials_at_a_dead_server(5, Some(LIMITS), span);
+    eprintln!(
+        "dials a second at a dead server by five instances: {without:.1} without limits, {with:.1} with"
+    );
     // The shipped ceiling is 2 dials a second for the whole fleet; one more for the phase each instance finds.
     assert!(with <= 3.0, "with limits: {with:.1} dials a second");
     assert!(without > 6.0, "without limits the fleet dials in step: {without:.1} a second");
 }
 
+/// The ceiling holds whatever the fleet's size: each instance takes its part by the siblings it is told of, and
+/// dials at most once a gap (n / 2 s). Phases are each instance's own, so over a window of `span` the worst
+/// case is the ceiling and one dial more for each instance; without limits it is some 3 a second for each.
+#[test]
+fn the_redial_ceiling_holds_at_three_ten_and_twenty_instances() {
+    let span = Duration::from_secs(6);
+    for n in [3, 10, 20] {
+        let with = dials_at_a_dead_server(n, Some(LIMITS), span);
+        let most = 2.0 + n as f64 / span.as_secs_f64();
+        eprintln!("{n} instances: {with:.1} dials a second at a dead server ({most:.1} at most)");
+        assert!(with <= most, "{n} instances with limits: {with:.1} dials a second");
+    }
+}
+
 /// What a caller heard of the set-ups it offered.
 #[derive(Default, Debug)]
 struct Heard {
