Test a crash under 150% of the survivor's capacity and ten instances started at once

Change: stand-in call servers with a capacity (answered while there is room, turned away as full beyond it), paced callers that offer at a set rate and read answers beside, and the two tests.

--- a/tests/lab/main.rs
+++ b/tests/lab/main.rs
@@ -245,3 +245,116 @@
     }
     assert!(moved > 0);
 }
+
+/// Offers set-ups on one caller at `per_s` for `span` (callers' wait 2 s), reading answers beside; every set-up is
+/// held to one final answer, and the caller waits for the last.
+fn offer(caller: rig::Caller, per_s: f64, span: Duration, base: u64) -> Heard {
+    let mut writer = rig::Caller { stream: caller.stream.try_clone().unwrap() };
+    let open = std::sync::Arc::new(std::sync::Mutex::new(HashMap::<u64, bool>::new()));
+    let sent = std::sync::Arc::new(std::sync::atomic::AtomicBool::new(false));
+    let (o, done) = (open.clone(), sent.clone());
+    let reader = std::thread::spawn(move || {
+        let (mut caller, mut heard) = (caller, Heard::default());
+        loop {
+            if done.load(std::sync::atomic::Ordering::Relaxed) && o.lock().unwrap().is_empty() {
+                return heard;
+            }
+            caller.set_patience(Duration::from_millis(200));
+            let Some((kind, call, parameters)) = caller.hear() else {
+                continue;
+            };
+            let mut open = o.lock().unwrap();
+            match (kind, open.get(&call).copied()) {
+                (9, Some(false)) => {
+                    open.insert(call, true);
+                    heard.answered += 1;
+                }
+                (12, Some(standing)) => {
+                    open.remove(&call);
+                    let cause = parameters.iter().find(|(code, _)| *code == 143).map(|(_, v)| v.as_str());
+                    match (standing, cause) {
+                        (false, Some("42")) => heard.refused += 1,
+                        (false, _) => heard.other += 1,
+                        (true, _) => {}
+                    }
+                }
+                _ => panic!("call {call} heard {kind} {parameters:?} out of turn: a second final answer"),
+            }
+        }
+    });
+    let since = Instant::now();
+    let mut offered = 0u64;
+    while since.elapsed() < span {
+        let due = (since.elapsed().as_secs_f64() * per_s) as u64;
+        while offered < due {
+            open.lock().unwrap().insert(base + offered, false);
+            writer.set_up(base + offered, 0, 2000);
+            offered += 1;
+        }
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    sent.store(true, std::sync::atomic::Ordering::Relaxed);
+    let mut heard = reader.join().unwrap();
+    heard.offered = offered;
+    heard
+}
+
+/// Set-ups at the surviving server per set-up offered, while the other has crashed, with five instances each
+/// offered 30 a second: 150 a second against a survivor that takes 100.
+fn survivor_per_offered(limits: Option<&str>) -> f64 {
+    let (a, b) = (StandIn::with_capacity(100.0), StandIn::with_capacity(100.0));
+    let proxy = Proxy::start(a.addr, 23);
+    let fleet = fleet::start(5, &[("s-a", proxy.addr), ("s-b", b.addr)], limits);
+    let callers = all_ready(&fleet);
+    let span = Duration::from_secs(5);
+    let threads: Vec<_> = callers
+        .into_iter()
+        .enumerate()
+        .map(|(i, caller)| std::thread::spawn(move || offer(caller, 30.0, span, (i as u64 + 1) << 32)))
+        .collect();
+    std::thread::sleep(Duration::from_secs(1));
+    proxy.set(Fault::Reset);
+    let at_b = b.set_ups();
+    let heard: Vec<Heard> = threads.into_iter().map(|t| t.join().unwrap()).collect();
+    let offered: u64 = heard.iter().map(|h| h.offered).sum();
+    assert!(heard.iter().all(|h| h.answered + h.refused + h.other == h.offered), "{heard:?}");
+    // What was offered from the crash on: four fifths of the span.
+    let after = offered as f64 * 0.8;
+    let per_offered = (b.set_ups() - at_b) as f64 / after;
+    eprintln!("{heard:?}: {per_offered:.2} set-ups at the survivor per set-up offered after the crash");
+    per_offered
+}
+
+/// One of two call servers crashes under 150% of the survivor's capacity, five instances in front: every set-up
+/// keeps one final answer, and what reaches the survivor stays at or under 1.1 set-ups per offered one.
+#[test]
+fn a_crash_under_150_percent_load_sends_the_survivor_no_more_than_its_share_of_retries() {
+    let without = survivor_per_offered(None);
+    let with = survivor_per_offered(Some(LIMITS));
+    eprintln!("set-ups at the survivor per offered: {without:.2} without limits, {with:.2} with");
+    assert!(with <= 1.1, "{with:.2}");
+}
+
+/// Dials in the first `span` after every instance of a fleet starts at once while one call server is down.
+fn dials_after_a_common_start(n: usize, limits: Option<&str>, span: Duration) -> u64 {
+    let (a, b) = (StandIn::start(Mode::Answer), StandIn::start(Mode::Answer));
+    let proxy = Proxy::start(a.addr, 5);
+    proxy.set(Fault::Reset);
+    let since = Instant::now();
+    let _fleet = fleet::start(n, &[("s-a", proxy.addr), ("s-b", b.addr)], limits);
+    std::thread::sleep(span.saturating_sub(since.elapsed()));
+    proxy.accepted()
+}
+
+/// All ten instances restarted at once while a call server is down: each dials it once at its start, and after
+/// that the fleet's ceiling holds instead of ten processes dialling in step.
+#[test]
+fn ten_instances_started_at_once_do_not_redial_a_down_server_in_step() {
+    let span = Duration::from_secs(6);
+    let without = dials_after_a_common_start(10, None, span);
+    let with = dials_after_a_common_start(10, Some(LIMITS), span);
+    eprintln!("dials in the first 6 s: {without} without limits, {with} with");
+    // One dial at each start, the ceiling's 2 a second, and one more each for its phase.
+    assert!(with <= 10 + 12 + 10, "{with}");
+    assert!(without > 60, "{without}");
+}
--- a/tests/lab/standin.rs
+++ b/tests/lab/standin.rs
@@ -30,6 +30,13 @@
     pub set_ups: AtomicU64,
 }
 
+/// Set-ups a second that a stand-in takes before its processor is full; none: no bound.
+struct Capacity {
+    per_s: f64,
+    tokens: f64,
+    at: std::time::Instant,
+}
+
 pub struct StandIn {
     pub addr: SocketAddr,
     pub counts: Arc<Counts>,
@@ -38,6 +45,21 @@
 
 impl StandIn {
     pub fn start(mode: Mode) -> StandIn {
+        Self::start_with(mode, None)
+    }
+
+    /// One that answers while it has room, `per_s` set-ups a second over a burst of a tenth of a second, and turns
+    /// the rest away as full.
+    pub fn with_capacity(per_s: f64) -> StandIn {
+        Self::start_with(Mode::Answer, Some(per_s))
+    }
+
+    fn start_with(mode: Mode, per_s: Option<f64>) -> StandIn {
+        let capacity = Arc::new(std::sync::Mutex::new(per_s.map(|per_s| Capacity {
+            per_s,
+            tokens: per_s / 10.0,
+            at: std::time::Instant::now(),
+        })));
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         listener.set_nonblocking(true).unwrap();
         let addr = listener.local_addr().unwrap();
@@ -52,8 +74,8 @@
                 match listener.accept() {
                     Ok((stream, _)) => {
                         c.conns.fetch_add(1, Ordering::Relaxed);
-                        let (c, m, s) = (c.clone(), m.clone(), s.clone());
-                        std::thread::spawn(move || serve(stream, &c, &m, &s));
+                        let (c, m, s, room) = (c.clone(), m.clone(), s.clone(), capacity.clone());
+                        std::thread::spawn(move || serve(stream, &c, &m, &s, &room));
                     }
                     Err(_) => std::thread::sleep(Duration::from_millis(2)),
                 }
@@ -77,7 +99,27 @@
     stream.write_all(format!("{value}\n").as_bytes())
 }
 
-fn serve(stream: TcpStream, counts: &Counts, mode: &AtomicU8, stop: &AtomicBool) {
+/// Whether there is room for one more set-up now.
+fn room(capacity: &std::sync::Mutex<Option<Capacity>>) -> bool {
+    let mut capacity = capacity.lock().unwrap();
+    let Some(c) = capacity.as_mut() else { return true };
+    let now = std::time::Instant::now();
+    c.tokens = (c.tokens + now.duration_since(c.at).as_secs_f64() * c.per_s).min(c.per_s / 10.0);
+    c.at = now;
+    let has = c.tokens >= 1.0;
+    if has {
+        c.tokens -= 1.0;
+    }
+    has
+}
+
+fn serve(
+    stream: TcpStream,
+    counts: &Counts,
+    mode: &AtomicU8,
+    stop: &AtomicBool,
+    capacity: &std::sync::Mutex<Option<Capacity>>,
+) {
     let mut writer = stream.try_clone().unwrap();
     stream.set_read_timeout(Some(Duration::from_millis(50))).unwrap();
     let zero = "0000000000000000";
@@ -103,7 +145,10 @@
         let said = match heard["t"].as_str() {
             Some("new") => {
                 counts.set_ups.fetch_add(1, Ordering::Relaxed);
-                let mode = mode.load(Ordering::Relaxed);
+                let mut mode = mode.load(Ordering::Relaxed);
+                if mode == Mode::Answer as u8 && !room(capacity) {
+                    mode = Mode::Full as u8;
+                }
                 if mode == Mode::Mute as u8 {
                     Ok(())
                 } else if mode == Mode::Reset as u8 {
