Wait in the lab's storms for final answers only, not for the ends of standing calls

Cause: the blackhole test failed when the lab ran in full: a call whose 'up' passed the proxy and whose release was swallowed by the blackhole stands on at its instance (rightly: nothing told it of the end), and the storm waited 15 s for that release; the logs of the instances showed no lost final answer. Change: storms and paced callers wait for the final answer of every set-up, offer the next on it, and take a release of a standing call as its end; the instances' logs are kept where CORKREACH_LAB_LOG says.

--- a/tests/lab/fleet.rs
+++ b/tests/lab/fleet.rs
@@ -117,7 +117,16 @@
                 assert!(log.read_line(&mut line).unwrap() > 0, "an instance ended before it listened");
             }
             let addr = line.trim().rsplit(' ').next().unwrap().parse().unwrap();
-            std::thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
+            // The log is read on, or the process would stand still once the pipe is full; it is kept in the
+            // folder that CORKREACH_LAB_LOG names, for a look at a failure.
+            let keep = std::env::var_os("CORKREACH_LAB_LOG")
+                .map(|dir| std::path::PathBuf::from(dir).join(format!("n{i}-{}.log", names.addr.port())));
+            std::thread::spawn(move || match keep {
+                Some(path) => {
+                    std::fs::File::create(path).and_then(|mut file| std::io::copy(&mut log, &mut file))
+                }
+                None => std::io::copy(&mut log, &mut std::io::sink()),
+            });
             (Instance { child, addr, folder }, names)
         }
     }
--- a/tests/lab/main.rs
+++ b/tests/lab/main.rs
@@ -82,7 +82,8 @@
 }
 
 /// Offers set-ups on one caller for `span`, `depth` at a time, and offers the next at once on every final
-/// answer: a caller retry storm. Every set-up is held to one final answer.
+/// answer: a caller retry storm. Every set-up is held to one final answer; a release heard for a call that
+/// stands is its end, not a second answer.
 fn storm(mut caller: rig::Caller, span: Duration, depth: u64, base: u64) -> Heard {
     let mut heard = Heard::default();
     let mut open: HashMap<u64, bool> = HashMap::new();
@@ -96,27 +97,32 @@
         offer(&mut caller, &mut open, &mut heard);
     }
     let since = Instant::now();
-    while !open.is_empty() {
+    // A call that stands is not waited for to its end: its release may be lost with a link, as in a blackhole.
+    while open.values().any(|standing| !standing) {
         let (kind, call, parameters) = caller.hear().expect("the instance keeps the caller's connection");
         match (kind, open.get(&call).copied()) {
             (9, Some(false)) => {
                 open.insert(call, true);
                 heard.answered += 1;
             }
-            (12, Some(standing)) => {
+            (12, Some(true)) => {
+                open.remove(&call);
+                continue;
+            }
+            (12, Some(false)) => {
                 open.remove(&call);
                 let cause = parameters.iter().find(|(code, _)| *code == 143).map(|(_, v)| v.as_str());
-                if !standing && cause == Some("42") {
+                if cause == Some("42") {
                     heard.refused += 1;
-                } else if !standing {
+                } else {
                     heard.other += 1;
                 }
-                if since.elapsed() < span {
-                    offer(&mut caller, &mut open, &mut heard);
-                }
             }
             _ => panic!("call {call} heard {kind} {parameters:?} out of turn: a second final answer"),
         }
+        if since.elapsed() < span {
+            offer(&mut caller, &mut open, &mut heard);
+        }
     }
     heard
 }
@@ -256,7 +262,8 @@
     let reader = std::thread::spawn(move || {
         let (mut caller, mut heard) = (caller, Heard::default());
         loop {
-            if done.load(std::sync::atomic::Ordering::Relaxed) && o.lock().unwrap().is_empty() {
+            let waiting = o.lock().unwrap().values().any(|standing| !standing);
+            if done.load(std::sync::atomic::Ordering::Relaxed) && !waiting {
                 return heard;
             }
             caller.set_patience(Duration::from_millis(200));
