Share one ledger of final answers between the lab's callers, and one ready caller with the rig

Need: the lab's storm and paced callers repeated the same reading of final answers, and its instances repeated the rig's ready caller. Change: a Ledger holds each caller's open set-ups to one final answer; Caller::connect and Caller::ready_at serve both the rig's Program and the lab's Instance; the paced caller's reader blocks on its reads and is woken by a test at the end instead of reading with short time-outs that could cut a message.

--- a/tests/lab/fleet.rs
+++ b/tests/lab/fleet.rs
@@ -1,12 +1,11 @@
 //! Several processes of the real program in front of the same call servers, each with its own name,
 //! seed and folder, and the fleet's size told to each as its siblings.
 
-use crate::rig::{self, Caller, Listed, Names, PATIENCE};
+use crate::rig::{self, Caller, Listed, Names};
 use serde_json::{Value, json};
 use std::io::{BufRead, BufReader};
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 use std::process::{Child, Stdio};
-use std::time::Instant;
 
 pub struct Instance {
     child: Child,
@@ -15,20 +14,9 @@
 }
 
 impl Instance {
-    pub fn caller(&self) -> Caller {
-        let stream = TcpStream::connect(self.addr).unwrap();
-        stream.set_read_timeout(Some(PATIENCE)).unwrap();
-        Caller { stream }
-    }
-
     /// A caller once tests pass.
     pub fn ready_caller(&self) -> Caller {
-        let mut caller = self.caller();
-        let since = Instant::now();
-        while !caller.test() {
-            assert!(since.elapsed() < PATIENCE, "an instance is not ready");
-        }
-        caller
+        Caller::ready_at(self.addr)
     }
 
     /// Kills the process at once, as a crash would.
--- a/tests/lab/main.rs
+++ b/tests/lab/main.rs
@@ -81,50 +81,72 @@
     other: u64,
 }
 
-/// Offers set-ups on one caller for `span`, `depth` at a time, and offers the next at once on every final
-/// answer: a caller retry storm. Every set-up is held to one final answer; a release heard for a call that
-/// stands is its end, not a second answer.
-fn storm(mut caller: rig::Caller, span: Duration, depth: u64, base: u64) -> Heard {
-    let mut heard = Heard::default();
-    let mut open: HashMap<u64, bool> = HashMap::new();
-    let mut next = base;
-    let mut offer = |caller: &mut rig::Caller, open: &mut HashMap<u64, bool>, heard: &mut Heard| {
-        caller.set_up(next, 0, 2000);
-        open.insert(next, false);
-        (next, heard.offered) = (next + 1, heard.offered + 1);
-    };
-    for _ in 0..depth {
-        offer(&mut caller, &mut open, &mut heard);
+/// The set-ups of one caller that are open, by call: whether each stands. It holds each to one final answer.
+#[derive(Default)]
+struct Ledger {
+    open: HashMap<u64, bool>,
+    heard: Heard,
+}
+
+impl Ledger {
+    fn offered(&mut self, call: u64) {
+        self.open.insert(call, false);
+        self.heard.offered += 1;
     }
-    let since = Instant::now();
-    // A call that stands is not waited for to its end: its release may be lost with a link, as in a blackhole.
-    while open.values().any(|standing| !standing) {
-        let (kind, call, parameters) = caller.hear().expect("the instance keeps the caller's connection");
-        match (kind, open.get(&call).copied()) {
+
+    /// Whether a set-up still waits for its final answer. A call that stands is not waited for to its end: its
+    /// release may be lost with a link, as in a blackhole.
+    fn waiting(&self) -> bool {
+        self.open.values().any(|standing| !standing)
+    }
+
+    /// Takes what the caller heard; true if it was a set-up's final answer, false if a standing call's end.
+    fn hear(&mut self, (kind, call, parameters): rig::Heard) -> bool {
+        match (kind, self.open.get(&call).copied()) {
             (9, Some(false)) => {
-                open.insert(call, true);
-                heard.answered += 1;
+                self.open.insert(call, true);
+                self.heard.answered += 1;
             }
             (12, Some(true)) => {
-                open.remove(&call);
-                continue;
+                self.open.remove(&call);
+                return false;
             }
             (12, Some(false)) => {
-                open.remove(&call);
-                let cause = parameters.iter().find(|(code, _)| *code == 143).map(|(_, v)| v.as_str());
-                if cause == Some("42") {
-                    heard.refused += 1;
-                } else {
-                    heard.other += 1;
+                self.open.remove(&call);
+                match parameters.iter().find(|(code, _)| *code == 143).map(|(_, v)| v.as_str()) {
+                    Some("42") => self.heard.refused += 1,
+                    _ => self.heard.other += 1,
                 }
             }
+            // The answer to a test.
+            (53, _) => return false,
             _ => panic!("call {call} heard {kind} {parameters:?} out of turn: a second final answer"),
         }
-        if since.elapsed() < span {
-            offer(&mut caller, &mut open, &mut heard);
+        true
+    }
+}
+
+/// Offers set-ups on one caller for `span`, `depth` at a time, and offers the next at once on every final
+/// answer: a caller retry storm. Every set-up is held to one final answer.
+fn storm(mut caller: rig::Caller, span: Duration, depth: u64, base: u64) -> Heard {
+    let mut ledger = Ledger::default();
+    let mut next = base;
+    let mut offer = |caller: &mut rig::Caller, ledger: &mut Ledger| {
+        caller.set_up(next, 0, 2000);
+        ledger.offered(next);
+        next += 1;
+    };
+    for _ in 0..depth {
+        offer(&mut caller, &mut ledger);
+    }
+    let since = Instant::now();
+    while ledger.waiting() {
+        let heard = caller.hear().expect("the instance keeps the caller's connection");
+        if ledger.hear(heard) && since.elapsed() < span {
+            offer(&mut caller, &mut ledger);
         }
     }
-    heard
+    ledger.heard
 }
 
 /// Set-ups that reach a call server in this mode, for each set-up offered by the callers of `n` instances
@@ -256,37 +278,14 @@
 /// held to one final answer, and the caller waits for the last.
 fn offer(caller: rig::Caller, per_s: f64, span: Duration, base: u64) -> Heard {
     let mut writer = rig::Caller { stream: caller.stream.try_clone().unwrap() };
-    let open = std::sync::Arc::new(std::sync::Mutex::new(HashMap::<u64, bool>::new()));
+    let ledger = std::sync::Arc::new(std::sync::Mutex::new(Ledger::default()));
     let sent = std::sync::Arc::new(std::sync::atomic::AtomicBool::new(false));
-    let (o, done) = (open.clone(), sent.clone());
+    let (shared, done) = (ledger.clone(), sent.clone());
     let reader = std::thread::spawn(move || {
-        let (mut caller, mut heard) = (caller, Heard::default());
-        loop {
-            let waiting = o.lock().unwrap().values().any(|standing| !standing);
-            if done.load(std::sync::atomic::Ordering::Relaxed) && !waiting {
-                return heard;
-            }
-            caller.set_patience(Duration::from_millis(200));
-            let Some((kind, call, parameters)) = caller.hear() else {
-                continue;
-            };
-            let mut open = o.lock().unwrap();
-            match (kind, open.get(&call).copied()) {
-                (9, Some(false)) => {
-                    open.insert(call, true);
-                    heard.answered += 1;
-                }
-                (12, Some(standing)) => {
-                    open.remove(&call);
-                    let cause = parameters.iter().find(|(code, _)| *code == 143).map(|(_, v)| v.as_str());
-                    match (standing, cause) {
-                        (false, Some("42")) => heard.refused += 1,
-                        (false, _) => heard.other += 1,
-                        (true, _) => {}
-                    }
-                }
-                _ => panic!("call {call} heard {kind} {parameters:?} out of turn: a second final answer"),
-            }
+        let mut caller = caller;
+        while !done.load(std::sync::atomic::Ordering::Relaxed) || shared.lock().unwrap().waiting() {
+            let heard = caller.hear().expect("the instance keeps the caller's connection");
+            shared.lock().unwrap().hear(heard);
         }
     });
     let since = Instant::now();
@@ -294,16 +293,17 @@
     while since.elapsed() < span {
         let due = (since.elapsed().as_secs_f64() * per_s) as u64;
         while offered < due {
-            open.lock().unwrap().insert(base + offered, false);
+            ledger.lock().unwrap().offered(base + offered);
             writer.set_up(base + offered, 0, 2000);
             offered += 1;
         }
         std::thread::sleep(Duration::from_millis(5));
     }
     sent.store(true, std::sync::atomic::Ordering::Relaxed);
-    let mut heard = reader.join().unwrap();
-    heard.offered = offered;
-    heard
+    // A test's answer wakes the reader, should it have heard every answer already.
+    writer.say(52, 0, &[(143, &[0])]);
+    reader.join().unwrap();
+    std::mem::take(&mut ledger.lock().unwrap().heard)
 }
 
 /// Set-ups at the surviving server per set-up offered, while the other has crashed, with five instances each
--- a/tests/process/rig.rs
+++ b/tests/process/rig.rs
@@ -291,6 +291,23 @@
 pub type Heard = (u8, u64, Vec<(u8, String)>);
 
 impl Caller {
+    /// A connection to a program's address for callers.
+    pub fn connect(addr: SocketAddr) -> Caller {
+        let stream = TcpStream::connect(addr).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        Caller { stream }
+    }
+
+    /// One on which tests pass: the program there is ready.
+    pub fn ready_at(addr: SocketAddr) -> Caller {
+        let mut caller = Caller::connect(addr);
+        let since = Instant::now();
+        while !caller.test() {
+            assert!(since.elapsed() < PATIENCE, "the program is not ready");
+        }
+        caller
+    }
+
     fn bytes(kind: u8, call: u64, parameters: &[(u8, &[u8])]) -> Vec<u8> {
         let body: Vec<u8> = parameters
             .iter()
@@ -383,19 +400,12 @@
 
 impl Program {
     pub fn caller(&self) -> Caller {
-        let stream = TcpStream::connect(self.addr).unwrap();
-        stream.set_read_timeout(Some(PATIENCE)).unwrap();
-        Caller { stream }
+        Caller::connect(self.addr)
     }
 
     /// A caller's connection on which tests pass: the program is ready.
     pub fn ready_caller(&self) -> Caller {
-        let mut caller = self.caller();
-        let since = Instant::now();
-        while !caller.test() {
-            assert!(since.elapsed() < PATIENCE, "the program is not ready");
-        }
-        caller
+        Caller::ready_at(self.addr)
     }
 
     /// An operator's call, cut into single bytes: status and text of its answer.
