Dial a call server soon when the list says it started again, despite the fleet's pacing

Cause: with the pacing on, each of N processes dials a down server once every N / fleet_per_s seconds (10 s for twenty at 2 a second), so a server that came back was found by each process only at its own turn: in the lab 9 of 20 instances had found a restarted server 3 s after the list told of the restart. Change: where the limits are on, a new start in the list (started_at) clears the server's back-off and pacing, and a server with no connection is dialled after a jitter of up to three times the base.

--- a/src/engine/fleet.rs
+++ b/src/engine/fleet.rs
@@ -163,6 +163,12 @@
         if let Some(at) = started_at.filter(|_| started_at != old.started_at) {
             // Another process: what stood at the one before was cut with it.
             self.cut(id, at, out);
+            // One that was down is looked for soon, not at its turn in the fleet's pacing.
+            let down = self.fleet.servers.get(&id).is_some_and(|s| s.conns.is_empty());
+            if let Some(limits) = self.limits.as_mut().filter(|_| down) {
+                let soon = limits.restarted(id);
+                self.timers.set(now + soon, Due::Redial(id));
+            }
         }
         if addr != old.addr {
             self.close_all(id, out);
--- a/src/limits/mod.rs
+++ b/src/limits/mod.rs
@@ -112,6 +112,19 @@
         }
     }
 
+    /// The list tells that another process of a call server started: its back-off and pacing start afresh, and
+    /// it is dialled within this many ms, a jitter of up to three times the base, without waiting for its turn
+    /// in the pacing; each process finds the new one on its own.
+    pub fn restarted(&mut self, server: ServerId) -> f64 {
+        self.backoffs.remove(&server);
+        self.pacing.forget(server);
+        let (settings, seed) = (&self.settings.redial, self.seed);
+        let backoff = self.backoffs.entry(server).or_insert_with(|| Backoff::new(settings, seed ^ server.0));
+        let gap = backoff.next_gap();
+        backoff.reset();
+        gap
+    }
+
     /// A call server left the list: what was kept of it goes.
     pub fn forget(&mut self, server: ServerId) {
         self.budgets.remove(&server);
@@ -150,6 +163,19 @@
         assert!(limits.redial_after(s, 200_000.0, 1) <= limits.settings().redial.base_ms * 3.0 + 500.0);
     }
 
+    #[test]
+    fn a_restart_told_by_the_list_is_dialled_soon_whatever_the_fleet() {
+        let mut limits = Limits::new(LimitSettings::default(), 9);
+        let s = ServerId(2);
+        for i in 0..20 {
+            limits.redial_after(s, f64::from(i) * 1000.0, 300);
+        }
+        let base = limits.settings().redial.base_ms;
+        let soon = limits.restarted(s);
+        assert!((base..=3.0 * base).contains(&soon), "{soon}");
+        assert!(limits.redial_after(s, 30_000.0, 300) >= 0.0);
+    }
+
     #[test]
     fn stay_away_is_no_longer_than_callers_heed() {
         let limits = Limits::new(LimitSettings::default(), 1);
--- a/tests/lab/fleet.rs
+++ b/tests/lab/fleet.rs
@@ -36,7 +36,21 @@
 /// The fleet, and a name service for each instance: each may dial its call servers at addresses of its own.
 pub struct Fleet {
     pub instances: Vec<Instance>,
-    _names: Vec<Names>,
+    pub names: Vec<Names>,
+    lists: Vec<Vec<Listed>>,
+}
+
+impl Fleet {
+    /// Every instance's name service tells that call server `id` was started again at `started_ms`, from its next
+    /// query on; it returns at once.
+    pub fn restarted(&self, id: &str, started_ms: u64) {
+        for (names, list) in self.names.iter().zip(&self.lists) {
+            let mut list = list.clone();
+            list.iter_mut().filter(|s| s.id == id).for_each(|s| s.started_ms = started_ms);
+            let mut state = names.state.lock().unwrap();
+            (state.serial, state.list, state.told) = (state.serial + 1, list, 0);
+        }
+    }
 }
 
 /// Starts `n` instances that know these call servers (id and the address they dial); with `limits`, each reads
@@ -53,7 +67,19 @@
     limits: Option<&str>,
 ) -> Fleet {
     let (instances, names) = (0..n).map(|i| instance(i, n, &servers(i), limits)).unzip();
-    Fleet { instances, _names: names }
+    let lists = (0..n).map(|i| listing(&servers(i))).collect();
+    Fleet { instances, names, lists }
+}
+
+fn listing(servers: &[(&'static str, SocketAddr)]) -> Vec<Listed> {
+    let listed = |(i, &(id, addr)): (usize, &(&'static str, SocketAddr))| Listed {
+        id,
+        addr,
+        place: i as u32,
+        draining: false,
+        started_ms: 0,
+    };
+    servers.iter().enumerate().map(listed).collect()
 }
 
 fn instance(
@@ -63,11 +89,7 @@
     limits: Option<&str>,
 ) -> (Instance, Names) {
     let names = Names::start();
-    let list: Vec<Listed> = servers
-        .iter()
-        .enumerate()
-        .map(|(i, &(id, addr))| Listed { id, addr, place: i as u32, draining: false, started_ms: 0 })
-        .collect();
+    let list = listing(servers);
     names.state.lock().unwrap().list = list.clone();
     let known: Vec<Value> = list
         .iter()
--- a/tests/lab/main.rs
+++ b/tests/lab/main.rs
@@ -365,3 +365,33 @@
     assert!(with <= 10 + 12 + 10, "{with}");
     assert!(without > 60, "{without}");
 }
+
+/// Instances of twenty, each dialling call server `a` through a proxy of its own, that reach it within `span`
+/// after it comes back and every instance's list says it was started again; they had paced their redials of it.
+fn found_again(limits: Option<&str>, span: Duration) -> usize {
+    let (a, b) = (StandIn::start(Mode::Answer), StandIn::start(Mode::Answer));
+    let proxies: Vec<Proxy> = (0..20).map(|i| Proxy::start(a.addr, 60 + i)).collect();
+    let fleet = fleet::start_each(20, |i| vec![("s-a", proxies[i].addr), ("s-b", b.addr)], limits);
+    let _callers = all_ready(&fleet);
+    proxies.iter().for_each(|p| p.set(Fault::Reset));
+    std::thread::sleep(Duration::from_secs(3));
+    let before: Vec<u64> = proxies.iter().map(Proxy::accepted).collect();
+    proxies.iter().for_each(|p| p.set(Fault::Pass));
+    let since = Instant::now();
+    let started_ms = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap().as_millis();
+    fleet.restarted("s-a", started_ms as u64);
+    let found = || proxies.iter().zip(&before).filter(|(p, n)| p.accepted() > **n).count();
+    while since.elapsed() < span && found() < 20 {
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    eprintln!("{} of 20 found the server again in {:?}", found(), since.elapsed());
+    found()
+}
+
+/// Paced at a gap of ten seconds each (twenty instances, two dials a second), a call server that the list says
+/// was started again is still found by every instance within a second or so: the list lifts the pacing.
+#[test]
+fn a_restart_told_by_the_list_is_found_by_every_instance_soon_despite_the_pacing() {
+    let found = found_again(Some(LIMITS), Duration::from_secs(3));
+    assert_eq!(found, 20, "instances that found the restarted server within 3 s");
+}
