Add the corkreach lab sub-command: scenarios in YAML, CSV and JSON tables, an SVG chart

Change: src/lab (stand-ins and fault proxy moved from tests/lab, a name service stand-in, a paced caller, fleet start, scenario, results with csv and plotters); deploy/lab/crash.yaml.

--- a/tests/lab/proxy.rs
+++ b/src/lab/proxy.rs
@@ -8,9 +8,12 @@
 use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU64, Ordering};
 use std::time::Duration;
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// What the proxy does to what passes it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Deserialize, serde::Serialize)]
+#[serde(rename_all = "snake_case")]
 #[repr(u8)]
 pub enum Fault {
+    /// Bytes pass both ways as they come.
     Pass = 0,
     /// Every connection, open or new, is cut with a reset.
     Reset = 1,
@@ -20,7 +23,9 @@
     Delay = 3,
 }
 
+/// A proxy on a loopback port of its own in front of one upstream address; it stops when dropped.
 pub struct Proxy {
+    /// Where it listens.
     pub addr: SocketAddr,
     fault: Arc<AtomicU8>,
     delay_ms: Arc<AtomicU64>,
@@ -36,10 +41,14 @@
 }
 
 impl Proxy {
-    pub fn start(upstream: SocketAddr, seed: u64) -> Proxy {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        listener.set_nonblocking(true).unwrap();
-        let addr = listener.local_addr().unwrap();
+    /// One that passes all to `upstream` until told otherwise; `seed` draws its delays.
+    ///
+    /// # Errors
+    /// The loopback port could not be had.
+    pub fn start(upstream: SocketAddr, seed: u64) -> std::io::Result<Proxy> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        listener.set_nonblocking(true)?;
+        let addr = listener.local_addr()?;
         let proxy = Proxy {
             addr,
             fault: Arc::new(AtomicU8::new(Fault::Pass as u8)),
@@ -72,19 +81,21 @@
                     continue;
                 };
                 for (from, to, lane) in [(&stream, &up, 2 * n), (&up, &stream, 2 * n + 1)] {
-                    let (from, to, shared) =
-                        (from.try_clone().unwrap(), to.try_clone().unwrap(), shared.clone());
+                    let (Ok(from), Ok(to)) = (from.try_clone(), to.try_clone()) else { continue };
+                    let shared = shared.clone();
                     std::thread::spawn(move || pass(from, to, &shared, lane));
                 }
             }
         });
-        proxy
+        Ok(proxy)
     }
 
+    /// From now on it does this to open and new connections.
     pub fn set(&self, fault: Fault) {
         self.fault.store(fault as u8, Ordering::Relaxed);
     }
 
+    /// From now on each read waits 0 to `most_ms`, drawn from the seed.
     pub fn set_delay(&self, most_ms: u64) {
         self.delay_ms.store(most_ms, Ordering::Relaxed);
         self.set(Fault::Delay);
@@ -109,7 +120,9 @@
 }
 
 fn pass(mut from: TcpStream, mut to: TcpStream, shared: &Shared, lane: u64) {
-    from.set_read_timeout(Some(Duration::from_millis(20))).unwrap();
+    if from.set_read_timeout(Some(Duration::from_millis(20))).is_err() {
+        return reset(to);
+    }
     let mut rng = fastrand::Rng::with_seed(shared.seed ^ lane);
     let mut buffer = [0u8; 8192];
     loop {
--- a/tests/lab/standin.rs
+++ b/src/lab/standin.rs
@@ -1,5 +1,5 @@
-//! A stand-in call server that answers by itself, as the platform's JSON-lines protocol describes, and counts
-//! what reaches it: connections and set-ups.
+//! A stand-in call server that answers by itself, as the platform's JSON-lines protocol describes (PROTOCOL:
+//! `gauge`, `new`, `up`, `down`, `ack`), and counts what reaches it: connections and set-ups.
 
 use serde_json::{Value, json};
 use std::io::{BufRead, BufReader, Write};
@@ -24,9 +24,12 @@
     Mute = 3,
 }
 
+/// What reached a stand-in since it started.
 #[derive(Default)]
 pub struct Counts {
+    /// Connections accepted.
     pub conns: AtomicU64,
+    /// Set-ups (`new`) read.
     pub set_ups: AtomicU64,
 }
 
@@ -37,38 +40,53 @@
     at: std::time::Instant,
 }
 
+/// A stand-in on a loopback port of its own; it stops serving when dropped.
 pub struct StandIn {
+    /// Where it listens.
     pub addr: SocketAddr,
+    /// What reached it.
     pub counts: Arc<Counts>,
+    mode: Arc<AtomicU8>,
     stop: Arc<AtomicBool>,
 }
 
 impl StandIn {
-    pub fn start(mode: Mode) -> StandIn {
+    /// One that serves in this mode, with no bound on its room.
+    ///
+    /// # Errors
+    /// The loopback port could not be had.
+    pub fn start(mode: Mode) -> std::io::Result<StandIn> {
         Self::start_with(mode, None)
     }
 
     /// One that answers while it has room, `per_s` set-ups a second over a burst of a tenth of a second, and turns
     /// the rest away as full.
-    pub fn with_capacity(per_s: f64) -> StandIn {
+    ///
+    /// # Errors
+    /// The loopback port could not be had.
+    pub fn with_capacity(per_s: f64) -> std::io::Result<StandIn> {
         Self::start_with(Mode::Answer, Some(per_s))
     }
 
-    fn start_with(mode: Mode, per_s: Option<f64>) -> StandIn {
+    /// One in this mode, and with room for `per_s` set-ups a second if given.
+    ///
+    /// # Errors
+    /// The loopback port could not be had.
+    pub fn start_with(mode: Mode, per_s: Option<f64>) -> std::io::Result<StandIn> {
         let capacity = Arc::new(std::sync::Mutex::new(per_s.map(|per_s| Capacity {
             per_s,
             tokens: per_s / 10.0,
             at: std::time::Instant::now(),
         })));
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        listener.set_nonblocking(true).unwrap();
-        let addr = listener.local_addr().unwrap();
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        listener.set_nonblocking(true)?;
+        let addr = listener.local_addr()?;
         let (counts, mode, stop) = (
             Arc::new(Counts::default()),
             Arc::new(AtomicU8::new(mode as u8)),
             Arc::new(AtomicBool::new(false)),
         );
-        let (c, m, s) = (counts.clone(), mode, stop.clone());
+        let (c, m, s) = (counts.clone(), mode.clone(), stop.clone());
         std::thread::spawn(move || {
             while !s.load(Ordering::Relaxed) {
                 match listener.accept() {
@@ -81,9 +99,15 @@
                 }
             }
         });
-        StandIn { addr, counts, stop }
+        Ok(StandIn { addr, counts, mode, stop })
     }
 
+    /// From now on it serves in this mode (a set-up open is answered in the new one).
+    pub fn set_mode(&self, mode: Mode) {
+        self.mode.store(mode as u8, Ordering::Relaxed);
+    }
+
+    /// Set-ups read so far.
     pub fn set_ups(&self) -> u64 {
         self.counts.set_ups.load(Ordering::Relaxed)
     }
@@ -101,7 +125,7 @@
 
 /// Whether there is room for one more set-up now.
 fn room(capacity: &std::sync::Mutex<Option<Capacity>>) -> bool {
-    let mut capacity = capacity.lock().unwrap();
+    let mut capacity = capacity.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
     let Some(c) = capacity.as_mut() else { return true };
     let now = std::time::Instant::now();
     c.tokens = (c.tokens + now.duration_since(c.at).as_secs_f64() * c.per_s).min(c.per_s / 10.0);
@@ -120,8 +144,10 @@
     stop: &AtomicBool,
     capacity: &std::sync::Mutex<Option<Capacity>>,
 ) {
-    let mut writer = stream.try_clone().unwrap();
-    stream.set_read_timeout(Some(Duration::from_millis(50))).unwrap();
+    let Ok(mut writer) = stream.try_clone() else { return };
+    if stream.set_read_timeout(Some(Duration::from_millis(50))).is_err() {
+        return;
+    }
     let zero = "0000000000000000";
     if line(&mut writer, json!({"t": "gauge", "ref": zero, "f": {"load": "x0:90;x1:100;latency_ms:-1"}}))
         .is_err()
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod engine;
 pub mod fronts;
 pub mod interface;
+pub mod lab;
 pub mod limits;
 pub mod logger;
 pub mod net;
--- a/src/main.rs
+++ b/src/main.rs
@@ -20,6 +20,7 @@
 enum Command {
     Serve(Serve),
     Check(Check),
+    Lab(Lab),
     Version(Version),
 }
 
@@ -56,6 +57,22 @@
     config: Option<PathBuf>,
 }
 
+/// Play a lab scenario: a fleet of this program's processes, stand-in call servers and faults between them,
+/// once with fleet limits off and once on; tables, a summary and a chart are written to the results folder.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "lab")]
+struct Lab {
+    /// the scenario, YAML (deploy/lab/crash.yaml is one)
+    #[argh(positional)]
+    scenario: PathBuf,
+    /// folder for the results (results/lab)
+    #[argh(option, default = "PathBuf::from(\"results/lab\")")]
+    out: PathBuf,
+    /// a seed in place of the scenario's
+    #[argh(option)]
+    seed: Option<u64>,
+}
+
 /// Print the version.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "version")]
@@ -99,6 +116,16 @@
             );
             Ok(())
         }
+        Command::Lab(lab) => {
+            let mut scenario = corkreach::lab::Scenario::read(&lab.scenario)?;
+            scenario.seed = lab.seed.unwrap_or(scenario.seed);
+            let program = std::env::current_exe().map_err(|e| format!("this program's path: {e}"))?;
+            let figures = corkreach::lab::play(&scenario, &program, &lab.out)?;
+            let summary = corkreach::lab::results::write(&figures, &lab.out)?;
+            println!("{}", corkreach::lab::results::table(&summary));
+            println!("results in {}", lab.out.display());
+            Ok(())
+        }
         Command::Version(_) => {
             println!("corkreach {}", env!("CARGO_PKG_VERSION"));
             Ok(())
--- a/tests/lab/main.rs
+++ b/tests/lab/main.rs
@@ -12,8 +12,8 @@
 mod speech;
 
 mod fleet;
-mod proxy;
-mod standin;
+use corkreach::lab::proxy;
+use corkreach::lab::standin;
 
 use proxy::{Fault, Proxy};
 use standin::{Mode, StandIn};
@@ -31,8 +31,8 @@
 /// Dials that reach a call server whose process is gone, a second, with `n` instances in front of it: the proxy
 /// resets every connection, as a host whose call server died does.
 fn dials_at_a_dead_server(n: usize, limits: Option<&str>, span: Duration) -> f64 {
-    let (a, b) = (StandIn::start(Mode::Answer), StandIn::start(Mode::Answer));
-    let proxy = Proxy::start(a.addr, 11);
+    let (a, b) = (StandIn::start(Mode::Answer).unwrap(), StandIn::start(Mode::Answer).unwrap());
+    let proxy = Proxy::start(a.addr, 11).unwrap();
     let fleet = fleet::start(n, &[("s-a", proxy.addr), ("s-b", b.addr)], limits);
     let _callers = all_ready(&fleet);
     proxy.set(Fault::Reset);
@@ -157,7 +157,7 @@
 
 /// The same with a call server in each mode, the first the callers' first choice; set-ups at all are counted.
 fn attempts_per_offered_with(n: usize, modes: &[Mode], limits: Option<&str>) -> f64 {
-    let servers: Vec<StandIn> = modes.iter().map(|&m| StandIn::start(m)).collect();
+    let servers: Vec<StandIn> = modes.iter().map(|&m| StandIn::start(m).unwrap()).collect();
     let names = ["s-a", "s-b", "s-c"];
     let listed: Vec<_> = servers.iter().zip(names).map(|(s, name)| (name, s.addr)).collect();
     let fleet = fleet::start(n, &listed, limits);
@@ -248,8 +248,8 @@
 /// off instances go on serving their callers from the other server.
 #[test]
 fn a_blackholed_then_slow_link_from_two_of_five_instances_leaves_every_call_one_final_answer() {
-    let (a, b) = (StandIn::start(Mode::Answer), StandIn::start(Mode::Answer));
-    let proxies: Vec<Proxy> = (0..5).map(|i| Proxy::start(a.addr, 40 + i)).collect();
+    let (a, b) = (StandIn::start(Mode::Answer).unwrap(), StandIn::start(Mode::Answer).unwrap());
+    let proxies: Vec<Proxy> = (0..5).map(|i| Proxy::start(a.addr, 40 + i).unwrap()).collect();
     let fleet = fleet::start_each(5, |i| vec![("s-a", proxies[i].addr), ("s-b", b.addr)], Some(LIMITS));
     let storms = storms(&fleet, Duration::from_secs(7));
     std::thread::sleep(Duration::from_secs(1));
@@ -309,8 +309,8 @@
 /// Set-ups at the surviving server per set-up offered, while the other has crashed, with five instances each
 /// offered 30 a second: 150 a second against a survivor that takes 100.
 fn survivor_per_offered(limits: Option<&str>) -> f64 {
-    let (a, b) = (StandIn::with_capacity(100.0), StandIn::with_capacity(100.0));
-    let proxy = Proxy::start(a.addr, 23);
+    let (a, b) = (StandIn::with_capacity(100.0).unwrap(), StandIn::with_capacity(100.0).unwrap());
+    let proxy = Proxy::start(a.addr, 23).unwrap();
     let fleet = fleet::start(5, &[("s-a", proxy.addr), ("s-b", b.addr)], limits);
     let callers = all_ready(&fleet);
     let span = Duration::from_secs(5);
@@ -344,8 +344,8 @@
 
 /// Dials in the first `span` after every instance of a fleet starts at once while one call server is down.
 fn dials_after_a_common_start(n: usize, limits: Option<&str>, span: Duration) -> u64 {
-    let (a, b) = (StandIn::start(Mode::Answer), StandIn::start(Mode::Answer));
-    let proxy = Proxy::start(a.addr, 5);
+    let (a, b) = (StandIn::start(Mode::Answer).unwrap(), StandIn::start(Mode::Answer).unwrap());
+    let proxy = Proxy::start(a.addr, 5).unwrap();
     proxy.set(Fault::Reset);
     let since = Instant::now();
     let _fleet = fleet::start(n, &[("s-a", proxy.addr), ("s-b", b.addr)], limits);
@@ -369,8 +369,8 @@
 /// Instances of twenty, each dialling call server `a` through a proxy of its own, that reach it within `span`
 /// after it comes back and every instance's list says it was started again; they had paced their redials of it.
 fn found_again(limits: Option<&str>, span: Duration) -> usize {
-    let (a, b) = (StandIn::start(Mode::Answer), StandIn::start(Mode::Answer));
-    let proxies: Vec<Proxy> = (0..20).map(|i| Proxy::start(a.addr, 60 + i)).collect();
+    let (a, b) = (StandIn::start(Mode::Answer).unwrap(), StandIn::start(Mode::Answer).unwrap());
+    let proxies: Vec<Proxy> = (0..20).map(|i| Proxy::start(a.addr, 60 + i).unwrap()).collect();
     let fleet = fleet::start_each(20, |i| vec![("s-a", proxies[i].addr), ("s-b", b.addr)], limits);
     let _callers = all_ready(&fleet);
     proxies.iter().for_each(|p| p.set(Fault::Reset));
