--- a/src/lab/caller.rs
+++ b/src/lab/caller.rs
@@ -202,7 +202,8 @@
     sent.store(true, Ordering::Relaxed);
     let _ = reader.join();
     let mut ledger = ledger.lock().unwrap_or_else(PoisonError::into_inner);
-    let left: Vec<usize> = ledger.open.values().filter(|(_, standing)| !standing).map(|&(at, _)| at).collect();
+    let left: Vec<usize> =
+        ledger.open.values().filter(|(_, standing)| !standing).map(|&(at, _)| at).collect();
     for at in left {
         ledger.second(at).lost += 1;
     }
--- a/src/lab/results.rs
+++ b/src/lab/results.rs
@@ -49,7 +49,8 @@
         .map(|run| {
             let callers: Vec<_> = figures.callers.iter().filter(|c| c.run == run).collect();
             let servers: Vec<_> = figures.servers.iter().filter(|s| s.run == run).collect();
-            let sum = |f: fn(&crate::lab::caller::Tally) -> u64| callers.iter().map(|c| f(&c.tally)).sum::<u64>();
+            let sum =
+                |f: fn(&crate::lab::caller::Tally) -> u64| callers.iter().map(|c| f(&c.tally)).sum::<u64>();
             let offered = sum(|t| t.offered);
             let share = |n: u64| if offered == 0 { 0.0 } else { n as f64 / offered as f64 };
             let offered_in = |second: usize| callers.get(second).map_or(0, |c| c.tally.offered);
@@ -112,8 +113,12 @@
         servers.serialize(row).map_err(|e| fail("servers.csv", &e))?;
     }
     servers.flush().map_err(|e| fail("servers.csv", &e))?;
-    let mut callers = csv::WriterBuilder::new().has_headers(false).from_path(out.join("callers.csv")).map_err(|e| fail("callers.csv", &e))?;
-    let head = ["run", "second", "offered", "answered", "refused", "failed", "doubled", "lost", "lost_at_crashes"];
+    let mut callers = csv::WriterBuilder::new()
+        .has_headers(false)
+        .from_path(out.join("callers.csv"))
+        .map_err(|e| fail("callers.csv", &e))?;
+    let head =
+        ["run", "second", "offered", "answered", "refused", "failed", "doubled", "lost", "lost_at_crashes"];
     callers.write_record(head).map_err(|e| fail("callers.csv", &e))?;
     for row in &figures.callers {
         let t = row.tally;
@@ -158,9 +163,10 @@
             .build_cartesian_2d(0..seconds, 0..top + top / 10)?;
         chart.configure_mesh().x_desc("second").y_desc("count").draw()?;
         let offered = figures.callers.iter().filter(|c| c.run == *run).map(|c| (c.second, c.tally.offered));
-        chart.draw_series(LineSeries::new(offered, BLACK.stroke_width(2)))?.label("offered").legend(|(x, y)| {
-            PathElement::new(vec![(x, y), (x + 16, y)], BLACK.stroke_width(2))
-        });
+        chart
+            .draw_series(LineSeries::new(offered, BLACK.stroke_width(2)))?
+            .label("offered")
+            .legend(|(x, y)| PathElement::new(vec![(x, y), (x + 16, y)], BLACK.stroke_width(2)));
         for (k, id) in ids.iter().enumerate() {
             let colour = Palette99::pick(k).to_rgba();
             let rows = || figures.servers.iter().filter(move |s| s.run == *run && s.server == *id);
--- a/src/lab/scenario.rs
+++ b/src/lab/scenario.rs
@@ -217,7 +217,8 @@
         let wrong = "seconds: 3\ninstances: 2\nload: [{at_s: 0, per_s: 1}]\nservers: [{id: a}]\n\
                      faults: [{at_s: 1, server: b, fault: reset}]\n";
         assert!(Scenario::parse(wrong).unwrap_err().contains("no server b"));
-        let misspelt = "seconds: 3\ninstances: 2\nload: [{at_s: 0, per_s: 1}]\nservers: [{id: a, mdoe: full}]\n";
+        let misspelt =
+            "seconds: 3\ninstances: 2\nload: [{at_s: 0, per_s: 1}]\nservers: [{id: a, mdoe: full}]\n";
         assert!(Scenario::parse(misspelt).unwrap_err().contains("mdoe"));
     }
 
@@ -225,6 +226,9 @@
     fn load_steps_hold_from_their_second() {
         let text = "seconds: 9\ninstances: 1\nload: [{at_s: 0, per_s: 5}, {at_s: 4, per_s: 20}]\nservers: [{id: a}]\n";
         let scenario = Scenario::parse(text).unwrap();
-        assert_eq!([scenario.per_s(0), scenario.per_s(3), scenario.per_s(4), scenario.per_s(8)], [5.0, 5.0, 20.0, 20.0]);
+        assert_eq!(
+            [scenario.per_s(0), scenario.per_s(3), scenario.per_s(4), scenario.per_s(8)],
+            [5.0, 5.0, 20.0, 20.0]
+        );
     }
 }
