--- a/benches/limits.rs
+++ b/benches/limits.rs
@@ -29,8 +29,11 @@
     let mut sent = 0u64;
     for i in 0..n {
         let (server, now) = (ServerId(i % 16), i as f64 * 0.5);
-        limits.first_sent(server, now);
-        sent += u64::from(limits.may_retry(server, now));
+        let worth = if i % 3 == 0 { 3.0 } else { 1.0 };
+        if limits.admits_first(worth, now) {
+            limits.first_sent(server, now);
+        }
+        sent += u64::from(limits.may_retry(server, worth, now, 20));
     }
     let nanos = since.elapsed().as_nanos() as f64 / n as f64;
     ((nanos), (blocks() - before) as f64 / n as f64, sent as f64 / n as f64)
--- a/src/config.rs
+++ b/src/config.rs
@@ -80,6 +80,8 @@
     addr: SocketAddr,
     #[serde(default)]
     cell: u32,
+    #[serde(default)]
+    zone: Option<String>,
     state: String,
     #[serde(default)]
     started_ms: f64,
@@ -151,7 +153,8 @@
                 other => return Err(format!("call server {}: unknown state {other}", s.id)),
             };
             let started_at = Some(s.started_ms).filter(|&ms| ms > 0.0);
-            let listing = Listing { name: s.id.clone(), addr: s.addr, place: s.cell, state, started_at };
+            let listing =
+                Listing { name: s.id.clone(), zone: s.zone, addr: s.addr, place: s.cell, state, started_at };
             servers.insert(s.id, listing);
         }
     }
--- a/src/engine/calls.rs
+++ b/src/engine/calls.rs
@@ -44,6 +44,8 @@
     /// It got its final answer, or is owed none.
     pub(super) answered: bool,
     pub(super) attempts: u32,
+    /// Of these, the ones that the fleet limits let through.
+    weighed: u32,
     pub(super) attempt: Option<Attempt>,
     pub(super) guard_until: f64,
     pub(super) standing: Option<Standing>,
@@ -116,6 +118,12 @@
         self.live.values().any(|c| c.standing.as_ref().is_some_and(|s| s.server == server))
     }
 
+    /// Set-ups out at this call server, or waiting for a connection to it.
+    pub fn out_at(&self, server: ServerId) -> usize {
+        let out = |c: &&Call| c.attempt.as_ref().is_some_and(|a| a.server == server);
+        self.live.values().filter(out).count()
+    }
+
     /// Whether something at this call server is waited for.
     pub fn any_at(&self, server: ServerId) -> bool {
         let set_up = |c: &Call| c.attempt.as_ref().is_some_and(|a| a.server == server);
@@ -185,6 +193,15 @@
             self.close_if_done(conn, out);
             return Ok(());
         }
+        let first_choice = match self.plan_call(class, set_up.first_choice) {
+            Ok(place) => place,
+            Err(stay_away_ms) => {
+                self.count(class, |o| &mut o.refused);
+                out.push(Effect::ToCaller { conn, message: ToCaller::Refused { call: id, stay_away_ms } });
+                self.close_if_done(conn, out);
+                return Ok(());
+            }
+        };
         // The time that it lay unread is part of its caller's wait.
         let deadline = read_at.min(self.now) + set_up.wait_ms;
         self.news.push_back(module::Event::Call(module::Call {
@@ -192,7 +209,7 @@
             class,
             customer: 0,
             expires_in_ms: (deadline - self.now).max(0.0),
-            first_choice: set_up.first_choice,
+            first_choice,
             number: set_up.number.as_deref().and_then(|text| u64::from_str_radix(text, 16).ok()),
             redial: set_up.redial,
         }));
@@ -205,6 +222,7 @@
             deadline,
             answered: false,
             attempts: 0,
+            weighed: 0,
             attempt: None,
             guard_until: f64::NEG_INFINITY,
             standing: None,
@@ -309,16 +327,29 @@
             return self.tell_ended(id, server, Outcome::NotSent, false, LoadReport::default());
         };
         let number = call.attempts;
+        if self.limits.is_some() && self.fleet.is_down(server) {
+            // It is dialled at its turn in the fleet's pacing, not for each call that tries its luck there.
+            call.attempts += 1;
+            return self.tell_ended(id, server, Outcome::NotConnected, false, LoadReport::default());
+        }
         if let Some(limits) = self.limits.as_mut() {
-            if number == 0 {
-                limits.first_sent(server, now);
-            } else if !limits.may_retry(server, now) {
-                // The budget of second attempts at this call server is spent: the call is answered now.
+            let worth = self.worths.get(call.class).copied().unwrap_or_default();
+            let shed = match call.weighed {
+                0 => !limits.admits_first(worth, now),
+                _ => !limits.may_retry(server, worth, now, self.siblings),
+            };
+            if shed {
+                // The budget of second attempts at this call server is spent, or a first one is of too little worth
+                // now: the call is answered at once.
                 let stay_away_ms = limits.stay_away_ms(self.stay_away_max_ms);
-                log::debug!("call {:016x}: a retry is shed by the budget", id.0);
+                log::debug!("call {:016x}: attempt {number} is shed by the fleet limits", id.0);
                 self.tell_ended(id, server, Outcome::NotSent, true, LoadReport::default());
                 return self.answer(id, ToCaller::Refused { call: id, stay_away_ms }, out);
             }
+            if call.weighed == 0 {
+                limits.first_sent(server, now);
+            }
+            call.weighed += 1;
         }
         call.attempts += 1;
         call.attempt = Some(Attempt { number, server, sent_at: now, stage: Stage::Waiting });
--- a/src/engine/fleet.rs
+++ b/src/engine/fleet.rs
@@ -30,6 +30,8 @@
 
 pub(super) struct Server {
     pub(super) listing: Listing,
+    /// The state that the module was told.
+    pub(super) told: Listed,
     pub(super) conns: Vec<Conn>,
     /// When it last said anything on any connection.
     pub(super) heard_at: f64,
@@ -37,8 +39,12 @@
     pub(super) tried: bool,
     /// Connections that did not come up since it last said anything.
     pub(super) failed: u32,
+    /// It cut a connection at once, and has said nothing since.
+    pub(super) cut_short: bool,
     /// When a set-up last went there, and when a connection was last asked for.
     pub(super) used_at: f64,
+    /// The first set-up that went there since it last said anything.
+    pub(super) waits_since: Option<f64>,
     pub(super) dialled_at: f64,
     /// Releases that wait for a connection.
     pub(super) owed: Vec<CallId>,
@@ -70,6 +76,13 @@
         self.servers.get(&server).is_some_and(|s| s.listing.state == Listed::Ready)
     }
 
+    /// It could not be reached when last dialled, or cut the connection before a word, and no connection has said
+    /// anything since.
+    pub fn is_down(&self, server: ServerId) -> bool {
+        let heard = |s: &Server| s.conns.iter().any(|c| c.open && c.heard);
+        self.servers.get(&server).is_some_and(|s| (s.failed > 0 || s.cut_short) && !heard(s))
+    }
+
     /// Call servers on the list.
     pub fn known(&self) -> usize {
         self.servers.len()
@@ -134,10 +147,15 @@
         }
         for listing in listings {
             let id = self.fleet.id(&listing.name);
-            let (place, state, started_at) = (listing.place, listing.state, listing.started_at);
+            let (place, started_at) = (listing.place, listing.started_at);
+            let state = self.told_state(id, &listing);
             entries.push(ServerEntry { id, place, state, started_at });
             self.listed(id, listing, out);
+            if let Some(s) = self.fleet.servers.get_mut(&id) {
+                s.told = state;
+            }
         }
+        self.sites_listed();
         self.news.push_back(module::Event::Servers { complete: true, entries });
     }
 
@@ -145,12 +163,15 @@
         let now = self.now;
         let Some(server) = self.fleet.servers.get_mut(&id) else {
             let server = Server {
+                told: listing.state,
                 listing,
                 conns: Vec::new(),
                 heard_at: now,
                 tried: false,
                 failed: 0,
+                cut_short: false,
                 used_at: f64::NEG_INFINITY,
+                waits_since: None,
                 dialled_at: now,
                 owed: Vec::new(),
             };
@@ -280,6 +301,7 @@
         } else {
             // One that closes every connection at once is not to be dialled in a tight loop. What was told on this
             // one comes again on the next, so there is to be one, also if others are open.
+            s.cut_short = true;
             self.redial_later(server);
         }
     }
@@ -321,11 +343,16 @@
         let now = self.now;
         log::trace!("{} on connection {}: {message:?}", self.fleet.name(server), conn.0);
         if let Some(s) = self.fleet.servers.get_mut(&server) {
-            (s.heard_at, s.tried, s.failed) = (now, true, 0);
+            (s.heard_at, s.tried, s.failed, s.cut_short) = (now, true, 0, false);
+            s.waits_since = None;
             for c in s.conns.iter_mut().filter(|c| c.id == conn) {
                 (c.heard_first, c.heard, c.heard_at) = (!c.heard, true, now);
             }
         }
+        self.site_heard(server);
+        if let FromServer::Ended { report, .. } | FromServer::State(report) = &message {
+            self.site_report(server, report);
+        }
         // A connection that opens and is cut before a word does not count as reaching the call server.
         if let Some(limits) = self.limits.as_mut() {
             limits.reached(server);
--- a/src/engine/liveness.rs
+++ b/src/engine/liveness.rs
@@ -138,6 +138,7 @@
         let last = s.conns.iter().map(|c| c.turn).max().unwrap_or(0);
         s.conns.iter_mut().filter(|c| c.id == conn).for_each(|c| c.turn = last + 1);
         s.used_at = now;
+        s.waits_since = s.waits_since.or(Some(now));
         Some(conn)
     }
 
--- a/src/engine/messages.rs
+++ b/src/engine/messages.rs
@@ -29,7 +29,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum OperatorAnswer {
     Ready(bool),
-    Figures(Figures),
+    Figures(Box<Figures>),
     Done,
 }
 
@@ -55,6 +55,8 @@
     pub skipped: usize,
     /// What the fleet limits shed and let through, where they are on.
     pub limits: Option<crate::limits::Shed>,
+    /// The sites, where there is a plan for their loss.
+    pub recovery: Option<crate::recovery::RecoveryFigures>,
 }
 
 /// A set-up as its caller sent it.
@@ -184,6 +186,8 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct Listing {
     pub name: String,
+    /// The zone in which it stands, where the list tells one.
+    pub zone: Option<String>,
     pub addr: SocketAddr,
     pub place: u32,
     pub state: Listed,
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -11,6 +11,7 @@
 mod liveness;
 mod messages;
 mod operators;
+mod recovery;
 mod timers;
 
 pub use messages::*;
@@ -18,6 +19,7 @@
 use crate::interface::{self as module, Action, CallId, Outcome, ServerId, Settings};
 use crate::limits::Limits;
 use crate::policy::Controller;
+use crate::recovery::Recovery;
 use crate::settings::HostSettings;
 use callers::Callers;
 use calls::Calls;
@@ -47,10 +49,16 @@
     /// The caller's connection should have asked something by now.
     CallerSilent(CallerConn),
     Look,
+    /// A returning site becomes a candidate, or ceases to be one.
+    Sites,
     /// Set-ups are taken no more.
     Stopped,
 }
 
+fn worths(settings: &Settings) -> Vec<f64> {
+    settings.classes.iter().map(|c| c.worth).collect()
+}
+
 pub struct Engine {
     controller: Controller,
     host: HostSettings,
@@ -59,8 +67,13 @@
     /// Border controllers in this tier and the longest advice callers heed: what the limits go by.
     siblings: u32,
     stay_away_max_ms: f64,
+    /// The classes' worths, in their order.
+    worths: Vec<f64>,
     /// The fleet limits, where the operator's file turns them on.
     limits: Option<Limits>,
+    /// The plan for the loss of a site, where the operator's file has one, and when its next turn is due.
+    recovery: Option<Recovery>,
+    sites_turn: Option<f64>,
     callers: Callers,
     calls: Calls,
     fleet: Fleet,
@@ -91,7 +104,10 @@
             max_attempts: settings.max_attempts,
             siblings: settings.siblings,
             stay_away_max_ms: settings.stay_away_max_ms,
+            worths: worths(&settings),
             limits: None,
+            recovery: None,
+            sites_turn: None,
             controller: Controller::new(settings, seed, now),
             host,
             callers: Callers::default(),
@@ -198,8 +214,10 @@
             Due::Look => {
                 self.look(out);
                 self.look_at_callers(out);
+                self.look_at_sites(out);
                 self.timers.set(self.now + LOOK_MS, Due::Look);
             }
+            Due::Sites => self.sites_turned(),
             Due::Stopped => log::info!("set-ups are taken no more"),
         }
     }
@@ -214,6 +232,7 @@
         }
         (self.guard_ms, self.max_attempts, self.host) = (settings.guard_ms, settings.max_attempts, host);
         (self.siblings, self.stay_away_max_ms) = (settings.siblings, settings.stay_away_max_ms);
+        self.worths = worths(&settings);
         self.news.push_back(module::Event::Settings(settings));
     }
 
--- a/src/engine/operators.rs
+++ b/src/engine/operators.rs
@@ -15,7 +15,7 @@
     pub(super) fn hear_operator(&mut self, conn: OperatorConn, ask: OperatorAsk, out: &mut Vec<Effect>) {
         let answer = match ask {
             OperatorAsk::Ready => OperatorAnswer::Ready(self.ready()),
-            OperatorAsk::Figures => OperatorAnswer::Figures(self.figures()),
+            OperatorAsk::Figures => OperatorAnswer::Figures(Box::new(self.figures())),
             OperatorAsk::OutOfService => {
                 if self.out_of_service.is_none() {
                     log::info!(
@@ -57,6 +57,7 @@
             known: self.fleet.known(),
             skipped: self.fleet.ids_listed().filter(|&id| self.skips(id)).count(),
             limits: self.limits.as_ref().map(crate::limits::Limits::shed),
+            recovery: self.recovery.as_ref().map(crate::recovery::Recovery::figures),
         }
     }
 
--- a/src/lab/caller.rs
+++ b/src/lab/caller.rs
@@ -1,11 +1,12 @@
 //! A scripted caller for the lab: it speaks the platform's binary caller protocol (PROTOCOL: a 2-byte length,
-//! a type, an 8-byte call reference, then parameters as code, 2-byte length, value), offers set-ups at a paced
-//! rate and holds every set-up to one final answer.
+//! a type, an 8-byte call reference, then parameters as code, 2-byte length, value), offers set-ups of several
+//! classes at a paced rate, offers those turned away again if told to, and holds every set-up to one final answer.
+//! It finds its instance again after a crash.
 
+use std::collections::{HashMap, HashSet};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 const SET_UP: u8 = 1;
@@ -13,64 +14,215 @@
 const RELEASE: u8 = 12;
 const TEST: u8 = 52;
 const TEST_ANSWER: u8 = 53;
+const STAY_AWAY: u8 = 135;
 const CAUSE: u8 = 143;
 /// The cause of a refusal by the border controller itself.
 const REFUSED: u8 = 42;
+/// How often the caller looks at what is due.
+const TICK: Duration = Duration::from_millis(4);
 
-/// What a caller heard in one second of the run, by the set-ups it offered in that second.
+/// A class of calls as the callers offer it.
+#[derive(Clone, Debug, serde::Deserialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Class {
+    /// Its name in the settings and on the wire (parameter 129).
+    pub name: String,
+    /// What a call of it is worth.
+    pub worth: f64,
+    /// Its part of the set-ups offered; parts are taken relative to their sum.
+    pub part: f64,
+}
+
+/// How a caller that was turned away comes again.
+#[derive(Clone, Copy, Debug, serde::Deserialize, PartialEq, Eq)]
+#[serde(deny_unknown_fields)]
+pub struct Repeats {
+    /// When.
+    pub how: When,
+    /// Repeats of one set-up at most.
+    pub most: u32,
+}
+
+/// When a caller that was turned away comes again.
+#[derive(Clone, Copy, Debug, serde::Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "snake_case")]
+pub enum When {
+    /// At once, whatever advice it got: a retry storm.
+    AtOnce,
+    /// After the time it was told to stay away; without such advice it gives up.
+    Advised,
+}
+
+/// What one caller offers.
+#[derive(Clone, Debug)]
+pub struct Profile {
+    /// The classes, of which each set-up's is drawn from `seed`.
+    pub classes: Vec<Class>,
+    /// The caller's wait for each set-up, ms (parameter 130).
+    pub wait_ms: u32,
+    /// Whether it comes again.
+    pub repeats: Option<Repeats>,
+    /// First choices: places of call servers, of which each set-up's is drawn.
+    pub places: Vec<u32>,
+    /// Draws classes and first choices.
+    pub seed: u64,
+}
+
+/// What a caller heard in one second of the run for one class, by the set-ups it offered in that second.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize)]
 pub struct Tally {
-    /// Set-ups offered.
+    /// Set-ups offered, repeats among them.
     pub offered: u64,
+    /// Of these, repeats of one turned away.
+    pub repeats: u64,
     /// Answered: the call stood.
     pub answered: u64,
     /// Refused by the border controller (cause 42).
     pub refused: u64,
+    /// Of these, with advice to stay away.
+    pub advised: u64,
     /// Ended otherwise: failed at a server, timed out, cut.
     pub failed: u64,
     /// A second final answer, or an answer out of turn: never allowed.
     pub doubled: u64,
-    /// Still without a final answer when the caller stopped waiting.
+    /// Still without a final answer when the caller stopped waiting, at an instance that lived: never allowed.
     pub lost: u64,
+    /// Without a final answer since their instance was crashed, or offered while it was down: the crash's own loss.
+    pub cut: u64,
+    /// The longest time to a refusal, ms.
+    pub slowest_refusal_ms: u64,
+}
+
+impl Tally {
+    /// Adds another's counts.
+    pub fn add(&mut self, from: &Tally) {
+        self.offered += from.offered;
+        self.repeats += from.repeats;
+        self.answered += from.answered;
+        self.refused += from.refused;
+        self.advised += from.advised;
+        self.failed += from.failed;
+        self.doubled += from.doubled;
+        self.lost += from.lost;
+        self.cut += from.cut;
+        self.slowest_refusal_ms = self.slowest_refusal_ms.max(from.slowest_refusal_ms);
+    }
+}
+
+/// Where an instance's callers find it: nowhere while it is down.
+#[derive(Default)]
+pub struct Door(Mutex<Option<SocketAddr>>);
+
+impl Door {
+    /// The instance listens here now, or is down.
+    pub fn set(&self, addr: Option<SocketAddr>) {
+        *self.0.lock().unwrap_or_else(PoisonError::into_inner) = addr;
+    }
+
+    fn addr(&self) -> Option<SocketAddr> {
+        *self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A set-up as offered.
+#[derive(Clone, Copy)]
+struct Offer {
+    number: u64,
+    class: usize,
+    place: u32,
+    repeat: u32,
 }
 
-/// The ledger of one caller: each open set-up's second of offer and whether it stands.
+/// One that is open: when it was offered, and whether it stands.
+struct Open {
+    offer: Offer,
+    second: usize,
+    at: Instant,
+    standing: bool,
+}
+
+/// The ledger of one caller.
 #[derive(Default)]
 struct Ledger {
-    open: std::collections::HashMap<u64, (usize, bool)>,
-    seconds: Vec<Tally>,
+    open: HashMap<u64, Open>,
+    /// Calls cut with a crashed instance: what is heard of them later counts for nothing.
+    cut: HashSet<u64>,
+    /// Repeats, each with when it is due.
+    again: Vec<(Instant, Offer)>,
+    /// By second, then by class.
+    seconds: Vec<Vec<Tally>>,
+    classes: usize,
+    repeats: Option<Repeats>,
+    /// The present connection broke.
+    broken: bool,
+    /// Nothing more is offered.
+    sent: bool,
 }
 
 impl Ledger {
-    fn second(&mut self, at: usize) -> &mut Tally {
-        if self.seconds.len() <= at {
-            self.seconds.resize(at + 1, Tally::default());
+    fn tally(&mut self, second: usize, class: usize) -> &mut Tally {
+        if self.seconds.len() <= second {
+            self.seconds.resize(second + 1, vec![Tally::default(); self.classes]);
         }
-        &mut self.seconds[at]
+        &mut self.seconds[second][class]
     }
 
     fn waiting(&self) -> bool {
-        self.open.values().any(|&(_, standing)| !standing)
+        self.open.values().any(|o| !o.standing)
     }
 
-    fn hear(&mut self, kind: u8, call: u64, cause: Option<u8>) {
-        match (kind, self.open.get(&call).copied()) {
-            (ANSWERED, Some((at, false))) => {
-                self.open.insert(call, (at, true));
-                self.second(at).answered += 1;
+    /// Takes one message: its type, call, cause and advice to stay away.
+    fn hear(&mut self, (kind, call, cause, stay_away): Heard) {
+        if kind == TEST_ANSWER || self.cut.contains(&call) {
+            return;
+        }
+        let found = self.open.get_mut(&call);
+        match (kind, found) {
+            (ANSWERED, Some(o)) if !o.standing => {
+                o.standing = true;
+                let (second, class) = (o.second, o.offer.class);
+                self.tally(second, class).answered += 1;
             }
-            (RELEASE, Some((_, true))) => {
+            (RELEASE, Some(o)) if o.standing => {
                 self.open.remove(&call);
             }
-            (RELEASE, Some((at, false))) => {
+            (RELEASE, Some(o)) => {
+                let (second, offer, waited) = (o.second, o.offer, o.at.elapsed());
                 self.open.remove(&call);
-                match cause {
-                    Some(REFUSED) => self.second(at).refused += 1,
-                    _ => self.second(at).failed += 1,
+                let tally = self.tally(second, offer.class);
+                if cause == Some(REFUSED) {
+                    tally.refused += 1;
+                    tally.advised += u64::from(stay_away.is_some());
+                    tally.slowest_refusal_ms = tally.slowest_refusal_ms.max(waited.as_millis() as u64);
+                } else {
+                    tally.failed += 1;
                 }
+                self.come_again(offer, stay_away);
             }
-            (TEST_ANSWER, _) => {}
-            _ => self.second(0).doubled += 1,
+            _ => self.tally(0, 0).doubled += 1,
+        }
+    }
+
+    fn come_again(&mut self, offer: Offer, stay_away: Option<u64>) {
+        let Some(repeats) = self.repeats.filter(|r| offer.repeat < r.most) else { return };
+        let wait = match repeats.how {
+            When::AtOnce => Some(0),
+            When::Advised => stay_away,
+        };
+        if let Some(ms) = wait {
+            let due = Instant::now() + Duration::from_millis(ms);
+            self.again.push((due, Offer { repeat: offer.repeat + 1, ..offer }));
+        }
+    }
+
+    /// The connection is gone: what waited on it is cut with a crashed instance, and lost with one that lives.
+    fn disconnected(&mut self, crashed: bool) {
+        let waiting: Vec<u64> = self.open.iter().filter(|(_, o)| !o.standing).map(|(&id, _)| id).collect();
+        for id in waiting {
+            let Some(o) = self.open.remove(&id) else { continue };
+            self.cut.insert(id);
+            let tally = self.tally(o.second, o.offer.class);
+            if crashed { tally.cut += 1 } else { tally.lost += 1 }
         }
     }
 }
@@ -88,35 +240,43 @@
     bytes
 }
 
-fn set_up(call: u64, wait_ms: u32) -> Vec<u8> {
-    let wait = wait_ms.to_string();
+fn set_up(call: u64, offer: &Offer, class: &str, wait_ms: u32) -> Vec<u8> {
+    let (wait, number) = (wait_ms.to_string(), format!("{:016x}", offer.number));
+    let dest = format!("dest:{};width:1;via:-1", offer.place);
     let sdp = "9d41c07a5be2f318\r\nc=IN IP4 10.4.7.9\r\nm=audio 31000 RTP/AVP 0 8 101\r\n";
-    let parameters: [(u8, &[u8]); 5] = [
-        (129, b"voice"),
-        (130, wait.as_bytes()),
-        (133, b"7f3a9c21e0b4d655"),
-        (134, b"dest:0;width:1;via:-1"),
-        (144, sdp.as_bytes()),
-    ];
+    let mut parameters: Vec<(u8, &[u8])> = vec![(129, class.as_bytes()), (130, wait.as_bytes())];
+    if offer.repeat > 0 {
+        parameters.push((132, b"1"));
+    }
+    parameters.extend([(133, number.as_bytes()), (134, dest.as_bytes()), (144, sdp.as_bytes())]);
     message(SET_UP, call, &parameters)
 }
 
-/// The next message's type, call and cause; none once the connection is closed or unreadable.
-fn hear(stream: &mut TcpStream) -> Option<(u8, u64, Option<u8>)> {
+/// A message's type, call, cause and advice to stay away, ms.
+type Heard = (u8, u64, Option<u8>, Option<u64>);
+
+/// The next message; none once the connection is closed or unreadable, or nothing came within its read time-out.
+fn hear(stream: &mut TcpStream) -> std::io::Result<Heard> {
+    let bad = || std::io::Error::from(std::io::ErrorKind::InvalidData);
     let mut length = [0; 2];
-    stream.read_exact(&mut length).ok()?;
+    stream.read_exact(&mut length)?;
     let mut body = vec![0; usize::from(u16::from_be_bytes(length))];
-    stream.read_exact(&mut body).ok()?;
-    let (kind, call) = (*body.first()?, u64::from_be_bytes(body.get(1..9)?.try_into().ok()?));
-    let (mut rest, mut cause) = (body.get(9..)?, None);
+    stream.read_exact(&mut body)?;
+    let kind = *body.first().ok_or_else(bad)?;
+    let call = body.get(1..9).and_then(|b| b.try_into().ok()).map(u64::from_be_bytes).ok_or_else(bad)?;
+    let (mut rest, mut cause, mut stay_away) = (&body[9..], None, None);
     while rest.len() >= 3 {
         let end = 3 + usize::from(u16::from_be_bytes([rest[1], rest[2]]));
-        if rest[0] == CAUSE {
-            cause = rest.get(3).copied();
+        let value = rest.get(3..end).ok_or_else(bad)?;
+        let text = || std::str::from_utf8(value).ok();
+        match rest[0] {
+            CAUSE => cause = value.first().copied(),
+            STAY_AWAY => stay_away = text().and_then(|t| t.parse().ok()),
+            _ => {}
         }
-        rest = rest.get(end..)?;
+        rest = &rest[end..];
     }
-    Some((kind, call, cause))
+    Ok((kind, call, cause, stay_away))
 }
 
 /// Connects to an instance's callers' address and returns once a test is answered as ready.
@@ -129,85 +289,193 @@
     stream.set_read_timeout(Some(patience))?;
     while since.elapsed() < patience {
         stream.write_all(&message(TEST, 0, &[(CAUSE, &[0])]))?;
-        match hear(&mut stream) {
-            Some((TEST_ANSWER, _, Some(1))) => return Ok(stream),
-            Some(_) => std::thread::sleep(Duration::from_millis(20)),
-            None => break,
+        match hear(&mut stream)? {
+            (TEST_ANSWER, _, Some(1), _) => return Ok(stream),
+            _ => std::thread::sleep(Duration::from_millis(20)),
         }
     }
     Err(std::io::Error::new(std::io::ErrorKind::TimedOut, format!("{addr} is not ready")))
 }
 
-/// Offers set-ups (callers' wait `wait_ms`) at `per_s(second)` a second for `seconds`, reading answers beside,
-/// then waits up to `patience` for the last final answers; returns the tally by second of offer. Calls are
-/// numbered from `base`.
-pub fn offer(
-    stream: TcpStream,
-    per_s: impl Fn(usize) -> f64,
-    seconds: usize,
-    wait_ms: u32,
-    base: u64,
-    patience: Duration,
-) -> std::io::Result<Vec<Tally>> {
-    let mut writer = stream.try_clone()?;
-    let ledger = Arc::new(Mutex::new(Ledger::default()));
-    let sent = Arc::new(AtomicBool::new(false));
-    let (shared, done) = (ledger.clone(), sent.clone());
-    stream.set_read_timeout(Some(Duration::from_millis(200)))?;
-    let reader = std::thread::spawn(move || {
-        let mut stream = stream;
-        let mut quiet_since = None::<Instant>;
-        loop {
-            let lock = || shared.lock().unwrap_or_else(PoisonError::into_inner);
-            if done.load(Ordering::Relaxed) && !lock().waiting() {
+fn lock(ledger: &Mutex<Ledger>) -> MutexGuard<'_, Ledger> {
+    ledger.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Reads answers on one connection until it breaks, or until all is said and answered.
+fn read(mut stream: TcpStream, ledger: &Mutex<Ledger>, door: &Door, patience: Duration) {
+    let mut quiet_since = None::<Instant>;
+    loop {
+        {
+            let ledger = lock(ledger);
+            if ledger.sent && !ledger.waiting() && ledger.again.is_empty() {
                 return;
             }
-            match hear(&mut stream) {
-                Some((kind, call, cause)) => {
+        }
+        // The first bytes decide whether anything is there; a whole message is then on its way.
+        match stream.peek(&mut [0]) {
+            Ok(n) if n > 0 => match hear(&mut stream) {
+                Ok(heard) => {
                     quiet_since = None;
-                    lock().hear(kind, call, cause);
+                    lock(ledger).hear(heard);
+                    continue;
                 }
-                None if done.load(Ordering::Relaxed) => {
-                    if quiet_since.get_or_insert_with(Instant::now).elapsed() > patience {
-                        return;
-                    }
+                Err(_) => break,
+            },
+            Err(e) if matches!(e.kind(), std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut) => {
+                let silent = quiet_since.get_or_insert_with(Instant::now).elapsed() > patience;
+                if silent && lock(ledger).sent {
+                    return;
                 }
-                None => std::thread::sleep(Duration::from_millis(1)),
             }
+            _ => break,
         }
-    });
+    }
+    let mut ledger = lock(ledger);
+    ledger.disconnected(door.addr().is_none());
+    ledger.broken = true;
+}
+
+/// Offers set-ups to the instance behind `door` at `per_s(second)` a second for `seconds`, reading answers beside,
+/// then waits up to `patience` for the last final answers; returns the tallies by second of offer and class. Calls
+/// are numbered from `base`.
+pub fn offer(
+    door: Arc<Door>,
+    profile: &Profile,
+    per_s: impl Fn(usize) -> f64,
+    seconds: usize,
+    base: u64,
+    patience: Duration,
+) -> Vec<Vec<Tally>> {
+    let classes = profile.classes.len();
+    let ledger = Arc::new(Mutex::new(Ledger { classes, repeats: profile.repeats, ..Ledger::default() }));
+    let mut rng = fastrand::Rng::with_seed(profile.seed ^ base);
+    let parts: f64 = profile.classes.iter().map(|c| c.part).sum();
+    let mut writer: Option<TcpStream> = None;
+    let mut readers = Vec::new();
     let since = Instant::now();
-    let mut next = 0u64;
-    let mut due = 0.0;
-    'offer: for second in 0..seconds {
-        let rate = per_s(second).max(0.0);
-        let start = Duration::from_secs(second as u64);
-        while since.elapsed() < start + Duration::from_secs(1) {
-            let into = (since.elapsed().saturating_sub(start)).as_secs_f64().min(1.0);
-            while next < (due + into * rate) as u64 {
-                let mut ledger = ledger.lock().unwrap_or_else(PoisonError::into_inner);
-                ledger.open.insert(base + next, (second, false));
-                ledger.second(second).offered += 1;
-                drop(ledger);
-                // A crashed instance takes no more; what was offered is kept.
-                if writer.write_all(&set_up(base + next, wait_ms)).is_err() {
-                    break 'offer;
+    let (mut next, mut due, mut offered) = (base, 0.0, 0.0);
+    loop {
+        let second = since.elapsed().as_secs() as usize;
+        let over = second >= seconds;
+        if over && (lock(&ledger).again.is_empty() || since.elapsed().as_secs() as usize > seconds + 3) {
+            break;
+        }
+        if lock(&ledger).broken {
+            writer = None;
+            lock(&ledger).broken = false;
+        }
+        if writer.is_none()
+            && let Some(stream) = door.addr().and_then(|addr| TcpStream::connect(addr).ok())
+            && stream.set_read_timeout(Some(Duration::from_millis(100))).is_ok()
+            && let Ok(half) = stream.try_clone()
+        {
+            let (ledger, door) = (ledger.clone(), door.clone());
+            readers.push(std::thread::spawn(move || read(half, &ledger, &door, patience)));
+            writer = Some(stream);
+        }
+        let mut wanted = Vec::new();
+        if !over {
+            let into = (since.elapsed().as_secs_f64() - second as f64).clamp(0.0, 1.0);
+            let whole: f64 = (0..second).map(|s| per_s(s).max(0.0)).sum();
+            due = f64::max(due, whole + into * per_s(second).max(0.0));
+            while offered + 1.0 <= due {
+                offered += 1.0;
+                let mut draw = rng.f64() * parts;
+                let class = profile.classes.iter().position(|c| {
+                    draw -= c.part;
+                    draw < 0.0
+                });
+                let place = profile.places.get(rng.usize(0..profile.places.len().max(1)));
+                let number = rng.u64(..);
+                let (class, place) = (class.unwrap_or(0), place.copied().unwrap_or(0));
+                wanted.push(Offer { number, class, place, repeat: 0 });
+            }
+        }
+        let now = Instant::now();
+        lock(&ledger).again.retain(|&(at, offer)| {
+            let due = at <= now;
+            if due {
+                wanted.push(offer);
+            }
+            !due
+        });
+        let at_second = second.min(seconds.saturating_sub(1));
+        for offer in wanted {
+            let call = next;
+            next += 1;
+            let open = Open { offer, second: at_second, at: Instant::now(), standing: false };
+            let mut held = lock(&ledger);
+            held.open.insert(call, open);
+            let tally = held.tally(at_second, offer.class);
+            tally.offered += 1;
+            tally.repeats += u64::from(offer.repeat > 0);
+            drop(held);
+            let bytes = set_up(call, &offer, &profile.classes[offer.class].name, profile.wait_ms);
+            let sent = writer.as_mut().is_some_and(|w| w.write_all(&bytes).is_ok());
+            if !sent {
+                // Nobody was there to take it.
+                let mut held = lock(&ledger);
+                if held.open.remove(&call).is_some() {
+                    held.cut.insert(call);
+                    held.tally(at_second, offer.class).cut += 1;
                 }
-                next += 1;
             }
-            std::thread::sleep(Duration::from_millis(5));
         }
-        due += rate;
+        std::thread::sleep(TICK);
+    }
+    lock(&ledger).sent = true;
+    for reader in readers {
+        let _ = reader.join();
     }
-    sent.store(true, Ordering::Relaxed);
-    let _ = reader.join();
-    let mut ledger = ledger.lock().unwrap_or_else(PoisonError::into_inner);
-    let left: Vec<usize> =
-        ledger.open.values().filter(|(_, standing)| !standing).map(|&(at, _)| at).collect();
-    for at in left {
-        ledger.second(at).lost += 1;
+    let mut ledger = lock(&ledger);
+    let left: Vec<(usize, usize)> =
+        ledger.open.values().filter(|o| !o.standing).map(|o| (o.second, o.offer.class)).collect();
+    for (second, class) in left {
+        ledger.tally(second, class).lost += 1;
     }
     let length = seconds.max(ledger.seconds.len());
-    ledger.seconds.resize(length, Tally::default());
-    Ok(std::mem::take(&mut ledger.seconds))
+    ledger.seconds.resize(length, vec![Tally::default(); classes]);
+    std::mem::take(&mut ledger.seconds)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn ledger(repeats: Option<Repeats>) -> Ledger {
+        let mut ledger = Ledger { classes: 1, repeats, ..Ledger::default() };
+        let offer = Offer { number: 1, class: 0, place: 0, repeat: 0 };
+        let at = Instant::now();
+        for call in 1..=3 {
+            ledger.open.insert(call, Open { offer, second: 0, at, standing: false });
+        }
+        ledger
+    }
+
+    #[test]
+    fn a_second_final_answer_is_told_from_the_first() {
+        let mut ledger = ledger(None);
+        ledger.hear((ANSWERED, 1, None, None));
+        ledger.hear((RELEASE, 1, Some(16), None));
+        ledger.hear((RELEASE, 2, Some(REFUSED), Some(500)));
+        ledger.hear((RELEASE, 2, Some(REFUSED), None));
+        let t = *ledger.tally(0, 0);
+        assert_eq!((t.answered, t.refused, t.advised, t.doubled), (1, 1, 1, 1));
+        ledger.disconnected(true);
+        assert_eq!(ledger.tally(0, 0).cut, 1);
+        ledger.hear((RELEASE, 3, Some(41), None));
+        assert_eq!(ledger.tally(0, 0).doubled, 1, "a cut call is heard of no more");
+    }
+
+    #[test]
+    fn one_turned_away_comes_again_as_told() {
+        let mut storm = ledger(Some(Repeats { how: When::AtOnce, most: 1 }));
+        storm.hear((RELEASE, 1, Some(REFUSED), None));
+        assert_eq!(storm.again.len(), 1);
+        let mut advised = ledger(Some(Repeats { how: When::Advised, most: 1 }));
+        advised.hear((RELEASE, 1, Some(REFUSED), None));
+        advised.hear((RELEASE, 2, Some(REFUSED), Some(900)));
+        assert_eq!(advised.again.len(), 1);
+        assert!(advised.again[0].0 > Instant::now());
+    }
 }
--- a/src/lab/fleet.rs
+++ b/src/lab/fleet.rs
@@ -1,6 +1,7 @@
 //! Processes of the program in the lab: each with its own name, seed, folder and name service, and the
 //! fleet's size told to each as its siblings.
 
+use crate::lab::caller::Class;
 use crate::lab::names::{Listed, Names};
 use serde_json::{Value, json};
 use std::io::{BufRead, BufReader};
@@ -8,15 +9,46 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 
-/// The settings every lab instance serves under: one class of calls, replies as reports, a 500 ms dial.
-fn settings(siblings: usize, index: usize) -> Value {
-    json!({"siblings": siblings, "index": index, "zones": ["aarhus"],
-        "services": [{"name": "voice", "deadline_ms": 9000.0, "target_ms": 1500.0, "worth": 1.0, "late_worth": 0.2}],
+/// Callers heed advice to stay away up to this, ms.
+const STAY_AWAY_MAX_MS: f64 = 2000.0;
+
+/// What every instance of a run is told.
+pub struct Orders<'a> {
+    /// The program.
+    pub program: &'a Path,
+    /// Border controllers in the fleet.
+    pub siblings: usize,
+    /// Draws each instance's own seed.
+    pub seed: u64,
+    /// The classes of calls.
+    pub classes: &'a [Class],
+    /// Places of call servers.
+    pub places: usize,
+    /// The fleet limits' text, if they are on.
+    pub limits: Option<&'a str>,
+    /// The sites' text, if there is a plan.
+    pub sites: Option<&'a str>,
+}
+
+/// The settings every lab instance serves under: the scenario's classes, replies as reports, a 500 ms dial.
+fn settings(orders: &Orders, index: usize) -> Value {
+    let services: Vec<Value> = orders
+        .classes
+        .iter()
+        .map(|c| {
+            json!({"name": c.name, "deadline_ms": 9000.0, "target_ms": 1500.0, "worth": c.worth,
+                "late_worth": 0.2})
+        })
+        .collect();
+    let widths = vec![1; orders.classes.len()];
+    let places: Vec<usize> = (0..orders.places).collect();
+    let pools = vec![places; orders.classes.len()];
+    json!({"siblings": orders.siblings, "index": index, "zones": ["aarhus"], "services": services,
         "report": {"columns": ["free", "size", "latency_ms", "can_take"], "how": "answers"},
         "ceilings": {"attempts_cap": 6, "cancel": true, "dial_timeout_ms": 500.0, "retry_after": true,
-            "max_retry_after_ms": 2000.0, "open_cap": 20000},
+            "max_retry_after_ms": STAY_AWAY_MAX_MS, "open_cap": 20000},
         "rules": {"cold_from": 0.37, "cold_ms": 14000.0, "fall_ms": 2000.0, "fall_multiple": 3.0},
-        "specifics": {"guard_ms": 200.0, "t1_ms": 0.0, "class_width": [1], "pools_by_class": [[0, 1]]}})
+        "specifics": {"guard_ms": 200.0, "t1_ms": 0.0, "class_width": widths, "pools_by_class": pools}})
 }
 
 /// One process of the program; it is killed when dropped.
@@ -42,48 +74,46 @@
     }
 }
 
-/// Starts instance `index` of `siblings` with the program at `program`, knowing `list`, in `folder` (its
-/// configuration, its `$TMPDIR`, its log), with this fleet limits text if any.
+/// Starts instance `index` as `orders` say, knowing `list`, in `folder` (its configuration, its `$TMPDIR`, its log).
 ///
 /// # Errors
 /// A file could not be written, the process could not start, or it ended before it listened.
-pub fn start(
-    program: &Path,
-    folder: &Path,
-    (index, siblings): (usize, usize),
-    seed: u64,
-    list: Vec<Listed>,
-    limits: Option<&str>,
-) -> Result<Instance, String> {
+pub fn start(orders: &Orders, folder: &Path, index: usize, list: Vec<Listed>) -> Result<Instance, String> {
     let io = |e: std::io::Error| format!("instance {index}: {e}");
     std::fs::create_dir_all(folder).map_err(io)?;
     let known: Vec<Value> = list
         .iter()
         .map(|s| {
-            json!({"id": s.id, "addr": s.addr, "zone": "aarhus", "kind": "std", "cell": s.place,
-            "state": "Ready", "weight": 4, "started_ms": s.started_ms})
+            json!({"id": s.id, "addr": s.addr, "zone": s.zone, "kind": "std", "cell": s.place,
+            "state": if s.draining { "Terminating" } else { "Ready" }, "weight": 4, "started_ms": s.started_ms})
         })
         .collect();
     let names = Names::start(list).map_err(io)?;
-    let seed = seed ^ (index as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    let seed = orders.seed ^ (index as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
     let config = json!({"name": format!("n{index}"), "listen": "127.0.0.1:0", "seed": format!("{seed:016x}"),
         "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "dns": names.addr,
-        "settings": settings(siblings, index),
+        "settings": settings(orders, index),
         "known": {"seq": 1, "results": [{"seq": 1, "fleet": {"version": 1, "full": true, "servers": known}}]}});
     std::fs::write(folder.join("config.json"), config.to_string()).map_err(io)?;
-    let mut command = Command::new(program);
+    let mut command = Command::new(orders.program);
     command.arg("serve").env("GW_CONFIG", folder.join("config.json")).env("TMPDIR", folder);
-    for variable in ["GW_LISTEN", "GW_MANAGEMENT", "GW_NAME", "GW_FRONTS", "GW_LIMITS"] {
+    for variable in ["GW_LISTEN", "GW_MANAGEMENT", "GW_NAME", "GW_FRONTS", "GW_LIMITS", "GW_SITES"] {
         command.env_remove(variable);
     }
-    if let Some(text) = limits {
-        std::fs::write(folder.join("limits.yaml"), text).map_err(io)?;
-        command.env("GW_LIMITS", folder.join("limits.yaml"));
+    for (variable, file, text) in
+        [("GW_LIMITS", "limits.yaml", orders.limits), ("GW_SITES", "sites.yaml", orders.sites)]
+    {
+        if let Some(text) = text {
+            std::fs::write(folder.join(file), text).map_err(io)?;
+            command.env(variable, folder.join(file));
+        }
     }
     let mut child = command.stdin(Stdio::null()).stderr(Stdio::piped()).spawn().map_err(io)?;
     let Some(stderr) = child.stderr.take() else { return Err(format!("instance {index}: no log")) };
     let mut log = BufReader::new(stderr);
-    let mut kept = std::fs::File::create(folder.join("log")).map_err(io)?;
+    // One that is started again goes on in the same log.
+    let kept = std::fs::OpenOptions::new().create(true).append(true).open(folder.join("log"));
+    let mut kept = kept.map_err(io)?;
     let mut line = String::new();
     let addr = loop {
         line.clear();
--- a/src/lab/mod.rs
+++ b/src/lab/mod.rs
@@ -2,8 +2,8 @@
 //! instances of a [`Scenario`] as real processes of the program, stand-in call servers that report load and fill
 //! up, a fault proxy on every link from an instance to a server, and a scripted caller at every instance; it
 //! plays the scenario's faults on their seconds and counts, each second, what each server saw and what the
-//! callers heard. Each run of the scenario (fleet limits off, then on) starts afresh, so the two are compared
-//! in one sitting. No decision is made here: the lab only drives and counts.
+//! callers heard. Each run of the scenario (without the file under trial, then with it) starts afresh, so the two
+//! are compared in one sitting. No decision is made here: the lab only drives and counts.
 //!
 //! The figures go to [`results`] as tables (CSV, JSON) and a chart (SVG).
 
@@ -12,14 +12,23 @@
 pub mod names;
 pub mod proxy;
 pub mod results;
+pub mod room;
 pub mod scenario;
 pub mod standin;
 
+use caller::Door;
+use fleet::{Instance, Orders};
+use names::Listed;
 use proxy::{Fault, Proxy};
+use room::{Queue, Room};
 pub use scenario::{Run, Scenario};
 use standin::StandIn;
 use std::path::Path;
-use std::time::{Duration, Instant};
+use std::sync::Arc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// An instance passes tests within this.
+const READY_WITHIN: Duration = Duration::from_secs(15);
 
 /// What one server saw in one second of a run.
 #[derive(Clone, Debug, serde::Serialize)]
@@ -30,32 +39,53 @@
     pub second: usize,
     /// The server's id.
     pub server: String,
+    /// Its site, or nothing.
+    pub site: String,
     /// Set-ups that reached it.
     pub attempts: u64,
+    /// Set-ups that it answered.
+    pub answered: u64,
+    /// The longest wait that it reported, ms.
+    pub wait_ms: u64,
+    /// Times that it fell over.
+    pub falls: u64,
     /// Connections dialled to it through the proxies, by the whole fleet.
     pub dials: u64,
 }
 
-/// What the callers of the fleet heard of the set-ups offered in one second of a run.
+/// What the callers of the fleet heard of the set-ups of one class offered in one second of a run.
 #[derive(Clone, Debug, serde::Serialize)]
 pub struct CallerSecond {
     /// `off` or `on`.
     pub run: Run,
     /// Second of the run.
     pub second: usize,
-    /// The callers' tally, summed over the instances that were not crashed.
+    /// The class's name.
+    pub class: String,
+    /// The callers' tally, summed over the instances.
+    pub tally: caller::Tally,
+}
+
+/// What the callers of one instance heard in a whole run.
+#[derive(Clone, Debug, serde::Serialize)]
+pub struct InstanceRun {
+    /// `off` or `on`.
+    pub run: Run,
+    /// The instance's number.
+    pub instance: usize,
+    /// Its callers' tally.
     pub tally: caller::Tally,
-    /// Set-ups offered at crashed instances that got no final answer: the crash's own loss.
-    pub lost_at_crashes: u64,
 }
 
-/// The figures of one run.
+/// The figures of the runs.
 #[derive(Clone, Debug, Default)]
 pub struct Figures {
-    /// By second and server.
+    /// By run, second and server.
     pub servers: Vec<ServerSecond>,
-    /// By second.
+    /// By run, second and class.
     pub callers: Vec<CallerSecond>,
+    /// By run and instance.
+    pub instances: Vec<InstanceRun>,
 }
 
 /// Plays the scenario once for each of its runs with the program at `program`; each instance's folder and log
@@ -64,140 +94,209 @@
 /// # Errors
 /// A stand-in, proxy or instance could not start, or an instance was not ready within 15 s.
 pub fn play(scenario: &Scenario, program: &Path, out: &Path) -> Result<Figures, String> {
+    scenario.check()?;
     let mut all = Figures::default();
     for &run in &scenario.runs {
         let figures = play_once(scenario, run, program, out)?;
         all.servers.extend(figures.servers);
         all.callers.extend(figures.callers);
+        all.instances.extend(figures.instances);
     }
     Ok(all)
 }
 
+/// The fleet of one run, and all that stands around it.
+struct Rig<'a> {
+    scenario: &'a Scenario,
+    orders: Orders<'a>,
+    run: Run,
+    out: &'a Path,
+    servers: Vec<StandIn>,
+    /// By instance, then by server: the link between them.
+    proxies: Vec<Vec<Proxy>>,
+    instances: Vec<Instance>,
+    doors: Vec<Arc<Door>>,
+}
+
+fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
+}
+
+impl Rig<'_> {
+    fn list(&self, instance: usize) -> Vec<Listed> {
+        let listed = |(place, (s, proxy)): (usize, (&scenario::Server, &Proxy))| Listed {
+            id: s.id.clone(),
+            addr: proxy.addr,
+            place: place as u32,
+            started_ms: 0,
+            zone: s.site.clone().unwrap_or_else(|| "aarhus".into()),
+            draining: false,
+        };
+        self.scenario.servers.iter().zip(&self.proxies[instance]).enumerate().map(listed).collect()
+    }
+
+    /// Starts an instance, or starts it again with the list as it was told last.
+    fn start(&mut self, i: usize) -> Result<(), String> {
+        let list = self.instances.get(i).map_or_else(|| self.list(i), |old| old.names.list());
+        let folder = fleet::folder(self.out, self.run.name(), i);
+        let instance = fleet::start(&self.orders, &folder, i, list)?;
+        self.doors[i].set(Some(instance.addr));
+        if i < self.instances.len() {
+            self.instances[i] = instance;
+        } else {
+            self.instances.push(instance);
+        }
+        Ok(())
+    }
+
+    /// Does what the scenario has for this second.
+    fn strike(&mut self, second: usize) -> Result<(), String> {
+        let n = self.scenario.instances;
+        let events: Vec<_> = self.scenario.faults.iter().filter(|e| e.at_s == second).cloned().collect();
+        for event in events {
+            for i in event.crash.iter().flat_map(|which| which.of(n)) {
+                // Its callers know first: what breaks now broke with it.
+                self.doors[i].set(None);
+                self.instances[i].kill();
+            }
+            for i in event.start.iter().flat_map(|which| which.of(n)) {
+                self.start(i)?;
+            }
+            let links = event.instances.as_ref().map_or_else(|| (0..n).collect(), |which| which.of(n));
+            for s in self.scenario.touched(&event) {
+                if let Some(mode) = event.mode {
+                    self.servers[s].set_mode(mode);
+                }
+                for &i in &links {
+                    match (event.fault, event.delay_ms) {
+                        (Some(Fault::Delay), most) => self.proxies[i][s].set_delay(most.unwrap_or(100)),
+                        (Some(fault), _) => self.proxies[i][s].set(fault),
+                        (None, _) => {}
+                    }
+                }
+                let (id, now) = (&self.scenario.servers[s].id, unix_ms());
+                for instance in &self.instances {
+                    if event.restarted {
+                        instance.names.change(id, |l| l.started_ms = now);
+                    }
+                    if let Some(draining) = event.draining {
+                        instance.names.change(id, |l| l.draining = draining);
+                    }
+                }
+            }
+        }
+        Ok(())
+    }
+}
+
+fn stand_in(server: &scenario::Server) -> std::io::Result<StandIn> {
+    let room = match (server.line_per_s, server.capacity_per_s) {
+        (Some(per_s), _) => {
+            let longest = Duration::from_millis(server.line_ms);
+            Room::Queue(Box::new(Queue::new(per_s, longest, server.cold, Instant::now())))
+        }
+        (None, Some(per_s)) => Room::bucket(per_s),
+        (None, None) => Room::Unbounded,
+    };
+    StandIn::start_with(server.mode, room)
+}
+
 fn play_once(scenario: &Scenario, run: Run, program: &Path, out: &Path) -> Result<Figures, String> {
     let io = |e: std::io::Error| format!("lab: {e}");
-    let servers: Vec<StandIn> = scenario
-        .servers
-        .iter()
-        .map(|s| StandIn::start_with(s.mode.into(), s.capacity_per_s))
-        .collect::<Result<_, _>>()
-        .map_err(io)?;
+    let servers: Vec<StandIn> =
+        scenario.servers.iter().map(stand_in).collect::<Result<_, _>>().map_err(io)?;
     let n = scenario.instances;
-    // proxies[i][s]: the link from instance i to server s.
     let mut proxies = Vec::with_capacity(n);
     for i in 0..n {
-        let row: Vec<Proxy> = servers
-            .iter()
-            .enumerate()
-            .map(|(s, server)| Proxy::start(server.addr, scenario.seed ^ ((i as u64) << 16 | s as u64)))
-            .collect::<Result<_, _>>()
-            .map_err(io)?;
+        let link = |(s, server): (usize, &StandIn)| {
+            Proxy::start(server.addr, scenario.seed ^ ((i as u64) << 16 | s as u64))
+        };
+        let row: Vec<Proxy> = servers.iter().enumerate().map(link).collect::<Result<_, _>>().map_err(io)?;
         proxies.push(row);
     }
-    let limits = match run {
-        Run::Off => None,
-        Run::On => Some(scenario.limits_text()?),
+    let (limits, sites) = match run {
+        Run::Off => (None, None),
+        Run::On => (scenario.limits_text()?, scenario.sites_text()?),
     };
-    let name = match run {
-        Run::Off => "off",
-        Run::On => "on",
+    let orders = Orders {
+        program,
+        siblings: n,
+        seed: scenario.seed,
+        classes: &scenario.classes,
+        places: scenario.servers.len(),
+        limits: limits.as_deref(),
+        sites: sites.as_deref(),
     };
-    let mut instances = Vec::with_capacity(n);
-    for (i, row) in proxies.iter().enumerate() {
-        let list = scenario
-            .servers
-            .iter()
-            .zip(row)
-            .enumerate()
-            .map(|(place, (s, proxy))| names::Listed {
-                id: s.id.clone(),
-                addr: proxy.addr,
-                place: place as u32,
-                started_ms: 0,
-            })
-            .collect();
-        let folder = fleet::folder(out, name, i);
-        instances.push(fleet::start(program, &folder, (i, n), scenario.seed, list, limits.as_deref())?);
+    let doors: Vec<Arc<Door>> = (0..n).map(|_| Arc::new(Door::default())).collect();
+    let mut rig = Rig { scenario, orders, run, out, servers, proxies, instances: Vec::new(), doors };
+    for i in 0..n {
+        let folder = fleet::folder(out, run.name(), i);
+        // The logs are of this play alone.
+        let _ = std::fs::remove_file(folder.join("log"));
+        rig.start(i)?;
     }
-    let streams: Vec<_> = instances
-        .iter()
-        .map(|instance| caller::ready(instance.addr, Duration::from_secs(15)))
-        .collect::<Result<_, _>>()
-        .map_err(io)?;
-    let offers: Vec<_> = streams
-        .into_iter()
-        .enumerate()
-        .map(|(i, stream)| {
-            let (load, seconds, wait_ms) = (scenario.clone(), scenario.seconds, scenario.wait_ms);
-            let patience = Duration::from_millis(u64::from(wait_ms) + 3000);
-            std::thread::spawn(move || {
-                caller::offer(stream, |t| load.per_s(t), seconds, wait_ms, (i as u64 + 1) << 32, patience)
-            })
+    for instance in &rig.instances {
+        caller::ready(instance.addr, READY_WITHIN).map_err(io)?;
+    }
+    let profile = caller::Profile {
+        classes: scenario.classes.clone(),
+        wait_ms: scenario.wait_ms,
+        repeats: scenario.repeats,
+        places: (0..scenario.servers.len() as u32).collect(),
+        seed: scenario.seed,
+    };
+    let offer = |(i, door): (usize, &Arc<Door>)| {
+        let (scenario, profile, door) = (scenario.clone(), profile.clone(), door.clone());
+        let patience = Duration::from_millis(u64::from(scenario.wait_ms) + 3000);
+        std::thread::spawn(move || {
+            let per_s = |second| scenario.per_s(second);
+            caller::offer(door, &profile, per_s, scenario.seconds, (i as u64 + 1) << 32, patience)
         })
-        .collect();
+    };
+    let offers: Vec<_> = rig.doors.iter().enumerate().map(offer).collect();
     let mut figures = Figures::default();
-    let mut crashed = vec![false; n];
-    let index = |id: &String| scenario.servers.iter().position(|s| &s.id == id);
-    let (mut attempts, mut dials) = (vec![0u64; servers.len()], vec![0u64; servers.len()]);
+    let mut before = vec![[0u64; 4]; rig.servers.len()];
     let since = Instant::now();
     for second in 0..scenario.seconds {
-        for event in scenario.faults.iter().filter(|e| e.at_s == second) {
-            if let Some(i) = event.crash {
-                instances[i].kill();
-                crashed[i] = true;
-            }
-            let Some(s) = event.server.as_ref().and_then(index) else { continue };
-            if let Some(mode) = event.mode {
-                servers[s].set_mode(mode.into());
-            }
-            let touched: Vec<usize> = event.instances.clone().unwrap_or_else(|| (0..n).collect());
-            for &i in &touched {
-                match (event.fault, event.delay_ms) {
-                    (Some(Fault::Delay), most) => proxies[i][s].set_delay(most.unwrap_or(100)),
-                    (Some(fault), _) => proxies[i][s].set(fault),
-                    (None, _) => {}
-                }
-                if event.restarted {
-                    instances[i].names.restarted(&scenario.servers[s].id, since.elapsed().as_millis() as u64);
-                }
-            }
-        }
+        rig.strike(second)?;
         let end = Duration::from_secs(second as u64 + 1);
         std::thread::sleep(end.saturating_sub(since.elapsed()));
-        for (s, server) in servers.iter().enumerate() {
-            let seen = server.set_ups();
-            let dialled: u64 = proxies.iter().map(|row| row[s].accepted()).sum();
+        for (s, server) in rig.servers.iter().enumerate() {
+            let count = |c: &std::sync::atomic::AtomicU64| c.load(std::sync::atomic::Ordering::Relaxed);
+            let dials: u64 = rig.proxies.iter().map(|row| row[s].accepted()).sum();
+            let (answered, falls) = (count(&server.counts.answered), count(&server.counts.falls));
+            let now = [server.set_ups(), answered, falls, dials];
+            let [attempts, answered, falls, dials] = std::array::from_fn(|k| now[k] - before[s][k]);
+            before[s] = now;
             figures.servers.push(ServerSecond {
                 run,
                 second,
                 server: scenario.servers[s].id.clone(),
-                attempts: seen - attempts[s],
-                dials: dialled - dials[s],
+                site: scenario.servers[s].site.clone().unwrap_or_default(),
+                attempts,
+                answered,
+                wait_ms: server.longest_wait_ms(),
+                falls,
+                dials,
             });
-            (attempts[s], dials[s]) = (seen, dialled);
         }
     }
-    figures.callers = (0..scenario.seconds)
-        .map(|second| CallerSecond { run, second, tally: caller::Tally::default(), lost_at_crashes: 0 })
-        .collect();
-    for (i, offer) in offers.into_iter().enumerate() {
-        let tallies = offer.join().map_err(|_| "lab: a caller stopped".to_owned())?.map_err(io)?;
-        for (row, tally) in figures.callers.iter_mut().zip(&tallies) {
-            if crashed[i] {
-                row.lost_at_crashes += tally.lost;
-                add(&mut row.tally, &caller::Tally { lost: 0, ..*tally });
-            } else {
-                add(&mut row.tally, tally);
-            }
+    let of_all: Vec<_> = offers
+        .into_iter()
+        .map(std::thread::JoinHandle::join)
+        .collect::<Result<_, _>>()
+        .map_err(|_| "lab: a caller stopped")?;
+    for second in 0..scenario.seconds {
+        for (k, class) in scenario.classes.iter().enumerate() {
+            let mut tally = caller::Tally::default();
+            of_all.iter().for_each(|seconds: &Vec<Vec<_>>| tally.add(&seconds[second][k]));
+            figures.callers.push(CallerSecond { run, second, class: class.name.clone(), tally });
         }
     }
+    for (instance, seconds) in of_all.iter().enumerate() {
+        let mut tally = caller::Tally::default();
+        seconds.iter().flatten().for_each(|t| tally.add(t));
+        figures.instances.push(InstanceRun { run, instance, tally });
+    }
     Ok(figures)
 }
-
-fn add(to: &mut caller::Tally, from: &caller::Tally) {
-    to.offered += from.offered;
-    to.answered += from.answered;
-    to.refused += from.refused;
-    to.failed += from.failed;
-    to.doubled += from.doubled;
-    to.lost += from.lost;
-}
--- a/src/lab/names.rs
+++ b/src/lab/names.rs
@@ -19,6 +19,10 @@
     pub place: u32,
     /// When its process last started, milliseconds on the platform's clock.
     pub started_ms: u64,
+    /// Its zone.
+    pub zone: String,
+    /// It drains.
+    pub draining: bool,
 }
 
 struct State {
@@ -56,12 +60,18 @@
         Ok(Names { addr, state })
     }
 
-    /// From the next query on, call server `id` was started again at `started_ms`, under a new serial.
-    pub fn restarted(&self, id: &str, started_ms: u64) {
+    /// From the next query on, the list's entry for call server `id` is so changed, under a new serial.
+    pub fn change(&self, id: &str, change: impl Fn(&mut Listed)) {
         let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
-        state.list.iter_mut().filter(|s| s.id == id).for_each(|s| s.started_ms = started_ms);
+        state.list.iter_mut().filter(|s| s.id == id).for_each(change);
         state.serial += 1;
     }
+
+    /// The list as it is told now.
+    #[must_use]
+    pub fn list(&self) -> Vec<Listed> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner).list.clone()
+    }
 }
 
 fn answer(state: &State, query: &Message) -> Option<Vec<u8>> {
@@ -71,8 +81,8 @@
     message.add_queries(query.queries.iter().cloned());
     for s in &state.list {
         let SocketAddr::V4(v4) = s.addr else { continue };
-        let host = format!("{}.aarhus.hosts.", s.id);
-        let srv = SRV::new(0, 40, s.addr.port(), name(&host)?);
+        let host = format!("{}.{}.hosts.", s.id, s.zone);
+        let srv = SRV::new(u16::from(s.draining), 40, s.addr.port(), name(&host)?);
         message.add_answer(record("_back._tcp.pool.lan.", RData::SRV(srv))?);
         message.add_additional(record(&host, RData::A(A(*v4.ip())))?);
         let text = vec!["kind=std".into(), format!("cell={}", s.place), format!("started={}", s.started_ms)];
--- a/src/lab/proxy.rs
+++ b/src/lab/proxy.rs
@@ -80,10 +80,18 @@
                     reset(stream);
                     continue;
                 };
+                let gone = Arc::new(AtomicBool::new(false));
                 for (from, to, lane) in [(&stream, &up, 2 * n), (&up, &stream, 2 * n + 1)] {
                     let (Ok(from), Ok(to)) = (from.try_clone(), to.try_clone()) else { continue };
-                    let shared = shared.clone();
-                    std::thread::spawn(move || pass(from, to, &shared, lane));
+                    let (shared, gone) = (shared.clone(), gone.clone());
+                    std::thread::spawn(move || {
+                        if !pass(&from, &to, &shared, &gone, lane) {
+                            // The other lane holds the same two sockets: it lets go of them as well.
+                            gone.store(true, Ordering::Relaxed);
+                            reset(from);
+                            reset(to);
+                        }
+                    });
                 }
             }
         });
@@ -114,34 +122,31 @@
 }
 
 /// Closes with a reset, not in order.
-fn reset(stream: TcpStream) {
+pub(super) fn reset(stream: TcpStream) {
     let socket = socket2::Socket::from(stream);
     let _ = socket.set_linger(Some(Duration::ZERO));
 }
 
-fn pass(mut from: TcpStream, mut to: TcpStream, shared: &Shared, lane: u64) {
+/// Passes one way until the end, in order (true) or by a reset (false).
+fn pass(mut from: &TcpStream, mut to: &TcpStream, shared: &Shared, gone: &AtomicBool, lane: u64) -> bool {
     if from.set_read_timeout(Some(Duration::from_millis(20))).is_err() {
-        return reset(to);
+        return false;
     }
     let mut rng = fastrand::Rng::with_seed(shared.seed ^ lane);
     let mut buffer = [0u8; 8192];
     loop {
         if shared.stop.load(Ordering::Relaxed) {
-            return;
+            return true;
         }
         let fault = shared.fault.load(Ordering::Relaxed);
-        if fault == Fault::Reset as u8 {
-            reset(from);
-            return reset(to);
+        if fault == Fault::Reset as u8 || gone.load(Ordering::Relaxed) {
+            return false;
         }
         let n = match from.read(&mut buffer) {
-            Ok(0) => {
-                let _ = to.shutdown(std::net::Shutdown::Write);
-                return;
-            }
+            Ok(0) => return to.shutdown(std::net::Shutdown::Write).is_ok(),
             Ok(n) => n,
             Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => continue,
-            Err(_) => return reset(to),
+            Err(_) => return false,
         };
         match shared.fault.load(Ordering::Relaxed) {
             f if f == Fault::Blackhole as u8 => continue,
@@ -152,7 +157,29 @@
             _ => {}
         }
         if to.write_all(&buffer[..n]).is_err() {
-            return reset(from);
+            return false;
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_reset_behind_the_proxy_comes_through_it() {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let proxy = Proxy::start(listener.local_addr().unwrap(), 1).unwrap();
+        let mut near = TcpStream::connect(proxy.addr).unwrap();
+        let (mut far, _) = listener.accept().unwrap();
+        near.write_all(b"hello").unwrap();
+        far.read_exact(&mut [0; 5]).unwrap();
+        reset(far);
+        near.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
+        let end = near.read(&mut [0; 1]);
+        assert!(
+            matches!(&end, Err(e) if e.kind() == ErrorKind::ConnectionReset) || matches!(end, Ok(0)),
+            "{end:?}"
+        );
+    }
+}
--- a/src/lab/results.rs
+++ b/src/lab/results.rs
@@ -1,101 +1,146 @@
-//! The lab's results: the figures by second as CSV tables (`servers.csv`, `callers.csv`), a summary of each run
-//! as JSON (`summary.json`), and a chart of each server's attempts and dials over time, runs side by side
+//! The lab's results: the figures as CSV tables (`servers.csv` and `callers.csv` by second, `instances.csv`), a
+//! summary of each run as JSON (`summary.json`), and a chart of each server's attempts and dials over time, runs side by side
 //! (`chart.svg`).
 
+use crate::lab::caller::Tally;
 use crate::lab::{Figures, Run};
 use plotters::prelude::*;
 use serde::Serialize;
 use std::path::Path;
 
-/// One run in brief.
+/// One class, or all, of one run in brief.
 #[derive(Clone, Debug, Serialize, PartialEq)]
 pub struct Summary {
     /// `off` or `on`.
     pub run: Run,
-    /// Set-ups offered by all callers.
+    /// The class, or `all`.
+    pub class: String,
+    /// Set-ups offered by all callers, repeats among them.
     pub offered: u64,
-    /// Set-ups that reached any server, for each offered.
-    pub attempts_per_offered: f64,
-    /// The most set-ups that reached one server in one second, for each set-up offered in that second.
-    pub worst_server_second_per_offered: f64,
+    /// Of these, repeats of ones turned away.
+    pub repeats: u64,
+    /// Set-ups that reached any server, for each offered; of all classes only.
+    pub attempts_per_offered: Option<f64>,
     /// The most dials by the whole fleet at one server in one second, the first second (the fleet's own
-    /// start) left out.
-    pub peak_dials_per_s: u64,
-    /// Answered, refused, failed: shares of offered.
+    /// start) left out; of all classes only.
+    pub peak_dials_per_s: Option<u64>,
+    /// Answered: a share of offered.
     pub answered: f64,
-    /// Refused by the border controllers.
+    /// Refused by the border controllers: a share of offered.
     pub refused: f64,
-    /// Failed at or on the way to servers.
+    /// Of the refused, told to stay away: a share.
+    pub advised: f64,
+    /// Failed at or on the way to servers: a share of offered.
     pub failed: f64,
+    /// The longest time to a refusal, ms.
+    pub slowest_refusal_ms: u64,
     /// Set-ups with two final answers or an answer out of turn (must be 0).
     pub doubled: u64,
     /// Set-ups at live instances left with no final answer (must be 0).
     pub lost: u64,
     /// Set-ups lost with an instance that was crashed on purpose.
-    pub lost_at_crashes: u64,
+    pub cut: u64,
 }
 
-/// The crash losses of one run's second.
-fn figures_lost(run: Run, second: usize, figures: &Figures) -> u64 {
-    figures.callers.iter().find(|c| c.run == run && c.second == second).map_or(0, |c| c.lost_at_crashes)
+/// The figures of some seconds only.
+#[must_use]
+pub fn within(figures: &Figures, seconds: std::ops::Range<usize>) -> Figures {
+    Figures {
+        servers: figures.servers.iter().filter(|s| seconds.contains(&s.second)).cloned().collect(),
+        callers: figures.callers.iter().filter(|c| seconds.contains(&c.second)).cloned().collect(),
+        instances: figures.instances.clone(),
+    }
 }
 
-/// Sums up each run of the figures.
-#[must_use]
-pub fn summarize(figures: &Figures) -> Vec<Summary> {
+/// The runs, in their order.
+fn runs(figures: &Figures) -> Vec<Run> {
     let mut runs: Vec<Run> = figures.callers.iter().map(|c| c.run).collect();
     runs.dedup();
-    runs.into_iter()
-        .map(|run| {
-            let callers: Vec<_> = figures.callers.iter().filter(|c| c.run == run).collect();
-            let servers: Vec<_> = figures.servers.iter().filter(|s| s.run == run).collect();
-            let sum =
-                |f: fn(&crate::lab::caller::Tally) -> u64| callers.iter().map(|c| f(&c.tally)).sum::<u64>();
-            let offered = sum(|t| t.offered);
-            let share = |n: u64| if offered == 0 { 0.0 } else { n as f64 / offered as f64 };
-            let offered_in = |second: usize| callers.get(second).map_or(0, |c| c.tally.offered);
-            let worst = servers
-                .iter()
-                .filter(|s| offered_in(s.second) > 0)
-                .map(|s| s.attempts as f64 / offered_in(s.second) as f64)
-                .fold(0.0, f64::max);
-            Summary {
-                run,
-                offered,
-                attempts_per_offered: share(servers.iter().map(|s| s.attempts).sum()),
-                worst_server_second_per_offered: worst,
-                peak_dials_per_s: servers.iter().filter(|s| s.second > 0).map(|s| s.dials).max().unwrap_or(0),
-                answered: share(sum(|t| t.answered)),
-                refused: share(sum(|t| t.refused)),
-                failed: share(sum(|t| t.failed)),
-                doubled: sum(|t| t.doubled),
-                lost: sum(|t| t.lost),
-                lost_at_crashes: callers.iter().map(|c| c.lost_at_crashes).sum(),
-            }
-        })
-        .collect()
+    runs
 }
 
-/// The summary as a plain table, one run a line.
+/// Sums up each run of the figures: all classes, then, where there are several, each of them.
+#[must_use]
+pub fn summarize(figures: &Figures) -> Vec<Summary> {
+    let mut classes: Vec<&str> = Vec::new();
+    for c in &figures.callers {
+        if !classes.contains(&c.class.as_str()) {
+            classes.push(&c.class);
+        }
+    }
+    let mut summary = Vec::new();
+    for run in runs(figures) {
+        summary.push(summary_of(figures, run, None));
+        if classes.len() > 1 {
+            summary.extend(classes.iter().map(|class| summary_of(figures, run, Some(class))));
+        }
+    }
+    summary
+}
+
+fn summary_of(figures: &Figures, run: Run, class: Option<&str>) -> Summary {
+    let mut tally = Tally::default();
+    let meant = |c: &&crate::lab::CallerSecond| c.run == run && class.is_none_or(|name| name == c.class);
+    figures.callers.iter().filter(meant).for_each(|c| tally.add(&c.tally));
+    let share = |n: u64, of: u64| if of == 0 { 0.0 } else { n as f64 / of as f64 };
+    let servers = || figures.servers.iter().filter(|s| s.run == run);
+    let attempts = share(servers().map(|s| s.attempts).sum(), tally.offered);
+    let peak = servers().filter(|s| s.second > 0).map(|s| s.dials).max().unwrap_or(0);
+    Summary {
+        run,
+        class: class.unwrap_or("all").to_owned(),
+        offered: tally.offered,
+        repeats: tally.repeats,
+        attempts_per_offered: class.is_none().then_some(attempts),
+        peak_dials_per_s: class.is_none().then_some(peak),
+        answered: share(tally.answered, tally.offered),
+        refused: share(tally.refused, tally.offered),
+        advised: share(tally.advised, tally.refused),
+        failed: share(tally.failed, tally.offered),
+        slowest_refusal_ms: tally.slowest_refusal_ms,
+        doubled: tally.doubled,
+        lost: tally.lost,
+        cut: tally.cut,
+    }
+}
+
+/// The summary as a plain table, a run and class a line.
 #[must_use]
 pub fn table(summary: &[Summary]) -> String {
-    let mut text = String::from(
-        "run  offered  attempts/offered  worst-second  peak-dials/s  answered  refused  failed  doubled  lost  lost-at-crash\n",
+    let mut text = format!(
+        "{:<4}{:<14}{:>8}{:>9}{:>11}{:>9}{:>9}{:>9}{:>9}{:>9}{:>12}{:>8}{:>6}{:>6}\n",
+        "run",
+        "class",
+        "offered",
+        "repeats",
+        "att/offer",
+        "dials/s",
+        "answered",
+        "refused",
+        "advised",
+        "failed",
+        "slowest ms",
+        "doubled",
+        "lost",
+        "cut"
     );
     for s in summary {
-        let run = if s.run == Run::On { "on " } else { "off" };
+        let attempts = s.attempts_per_offered.map_or_else(String::new, |n| format!("{n:.3}"));
+        let dials = s.peak_dials_per_s.map_or_else(String::new, |n| n.to_string());
         text += &format!(
-            "{run}  {:7}  {:16.3}  {:12.3}  {:12}  {:8.3}  {:7.3}  {:6.3}  {:7}  {:4}  {:13}\n",
+            "{:<4}{:<14}{:>8}{:>9}{attempts:>11}{dials:>9}{:>9.3}{:>9.3}{:>9.3}{:>9.3}{:>12}{:>8}{:>6}{:>6}\n",
+            s.run.name(),
+            s.class,
             s.offered,
-            s.attempts_per_offered,
-            s.worst_server_second_per_offered,
-            s.peak_dials_per_s,
+            s.repeats,
             s.answered,
             s.refused,
+            s.advised,
             s.failed,
+            s.slowest_refusal_ms,
             s.doubled,
             s.lost,
-            s.lost_at_crashes
+            s.cut
         );
     }
     text
@@ -108,24 +153,32 @@
 pub fn write(figures: &Figures, out: &Path) -> Result<Vec<Summary>, String> {
     let fail = |what: &str, e: &dyn std::fmt::Display| format!("{}: {e}", out.join(what).display());
     std::fs::create_dir_all(out).map_err(|e| fail("", &e))?;
-    let mut servers = csv::Writer::from_path(out.join("servers.csv")).map_err(|e| fail("servers.csv", &e))?;
-    for row in &figures.servers {
-        servers.serialize(row).map_err(|e| fail("servers.csv", &e))?;
-    }
-    servers.flush().map_err(|e| fail("servers.csv", &e))?;
-    let mut callers = csv::WriterBuilder::new()
-        .has_headers(false)
-        .from_path(out.join("callers.csv"))
-        .map_err(|e| fail("callers.csv", &e))?;
-    let head =
-        ["run", "second", "offered", "answered", "refused", "failed", "doubled", "lost", "lost_at_crashes"];
-    callers.write_record(head).map_err(|e| fail("callers.csv", &e))?;
-    for row in &figures.callers {
-        let t = row.tally;
-        let row = (row.run, row.second, t.offered, t.answered, t.refused, t.failed, t.doubled, t.lost);
-        callers.serialize((row, figures_lost(row.0, row.1, figures))).map_err(|e| fail("callers.csv", &e))?;
-    }
-    callers.flush().map_err(|e| fail("callers.csv", &e))?;
+    let servers = figures
+        .servers
+        .iter()
+        .map(|s| (s.run, s.second, &s.server, &s.site, s.attempts, s.answered, s.wait_ms, s.falls, s.dials));
+    let head = ["run", "second", "server", "site", "attempts", "answered", "wait_ms", "falls", "dials"];
+    rows(&out.join("servers.csv"), &head, servers)?;
+    let of = |t: &Tally| {
+        let counted = (t.offered, t.repeats, t.answered, t.refused, t.advised, t.failed);
+        (counted, (t.doubled, t.lost, t.cut, t.slowest_refusal_ms))
+    };
+    const TALLY: [&str; 10] = [
+        "offered",
+        "repeats",
+        "answered",
+        "refused",
+        "advised",
+        "failed",
+        "doubled",
+        "lost",
+        "cut",
+        "slowest_refusal_ms",
+    ];
+    let callers = figures.callers.iter().map(|c| (c.run, c.second, &c.class, of(&c.tally)));
+    rows(&out.join("callers.csv"), &[&["run", "second", "class"], &TALLY[..]].concat(), callers)?;
+    let instances = figures.instances.iter().map(|i| (i.run, i.instance, of(&i.tally)));
+    rows(&out.join("instances.csv"), &[&["run", "instance"], &TALLY[..]].concat(), instances)?;
     let summary = summarize(figures);
     let text = serde_json::to_string_pretty(&summary).map_err(|e| fail("summary.json", &e))?;
     std::fs::write(out.join("summary.json"), text + "\n").map_err(|e| fail("summary.json", &e))?;
@@ -133,11 +186,30 @@
     Ok(summary)
 }
 
+/// Writes a table.
+fn rows<R: Serialize>(path: &Path, head: &[&str], rows: impl Iterator<Item = R>) -> Result<(), String> {
+    let fail = |e: csv::Error| format!("{}: {e}", path.display());
+    let mut table = csv::WriterBuilder::new().has_headers(false).from_path(path).map_err(fail)?;
+    table.write_record(head).map_err(fail)?;
+    for row in rows {
+        table.serialize(row).map_err(fail)?;
+    }
+    table.flush().map_err(|e| format!("{}: {e}", path.display()))
+}
+
+/// The set-ups offered in each second, over all classes.
+fn offered(figures: &Figures, run: Run, seconds: usize) -> Vec<(usize, u64)> {
+    let mut by_second: Vec<(usize, u64)> = (0..seconds).map(|second| (second, 0)).collect();
+    for c in figures.callers.iter().filter(|c| c.run == run) {
+        by_second[c.second].1 += c.tally.offered;
+    }
+    by_second
+}
+
 /// Attempts a second at each server (solid) and dials a second (thin), one panel for each run, with the set-ups
 /// offered a second in black.
 fn chart(figures: &Figures, path: &Path) -> Result<(), Box<dyn std::error::Error>> {
-    let mut runs: Vec<Run> = figures.callers.iter().map(|c| c.run).collect();
-    runs.dedup();
+    let runs = runs(figures);
     let root = SVGBackend::new(path, (900, 360 * runs.len().max(1) as u32)).into_drawing_area();
     root.fill(&WHITE)?;
     let panels = root.split_evenly((runs.len().max(1), 1));
@@ -149,12 +221,12 @@
         .servers
         .iter()
         .map(|s| s.attempts.max(s.dials))
-        .chain(figures.callers.iter().map(|c| c.tally.offered))
+        .chain(runs.iter().flat_map(|&run| offered(figures, run, seconds)).map(|(_, n)| n))
         .max()
         .unwrap_or(1)
         .max(1);
     for (panel, run) in panels.iter().zip(&runs) {
-        let title = format!("limits {}: per second", if *run == Run::On { "on" } else { "off" });
+        let title = format!("{}: per second", run.name());
         let mut chart = ChartBuilder::on(panel)
             .caption(title, ("sans-serif", 18))
             .margin(10)
@@ -162,7 +234,7 @@
             .y_label_area_size(45)
             .build_cartesian_2d(0..seconds, 0..top + top / 10)?;
         chart.configure_mesh().x_desc("second").y_desc("count").draw()?;
-        let offered = figures.callers.iter().filter(|c| c.run == *run).map(|c| (c.second, c.tally.offered));
+        let offered = offered(figures, *run, seconds);
         chart
             .draw_series(LineSeries::new(offered, BLACK.stroke_width(2)))?
             .label("offered")
--- a/src/lab/standin.rs
+++ b/src/lab/standin.rs
@@ -1,15 +1,22 @@
 //! A stand-in call server that answers by itself, as the platform's JSON-lines protocol describes (PROTOCOL:
-//! `gauge`, `new`, `up`, `down`, `ack`), and counts what reaches it: connections and set-ups.
+//! `gauge`, `new`, `up`, `down`, `ack`), and counts what reaches it: connections, set-ups, and the longest wait that
+//! it reported.
 
+use super::room::{Met, Room};
 use serde_json::{Value, json};
-use std::io::{BufRead, BufReader, Write};
+use std::collections::VecDeque;
+use std::io::{BufRead, BufReader, ErrorKind, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU64, Ordering};
-use std::time::Duration;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+/// It looks at its connections and its stop so often.
+const TICK: Duration = Duration::from_millis(50);
 
 /// How it answers set-ups.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Deserialize)]
+#[serde(rename_all = "snake_case")]
 #[repr(u8)]
 pub enum Mode {
     /// The call stands, and ends at once in the normal way.
@@ -22,6 +29,11 @@
     /// Set-ups are taken and never answered, while the reports say all is well: a server too slow for its
     /// callers.
     Mute = 3,
+    /// Every second set-up on a connection fails with an error (cause 38) while the reports say all is well: too few
+    /// in a row to be taken for dead, so callers' calls go on meeting it.
+    Flaky = 4,
+    /// Its process is gone: connections are reset, and nothing is taken.
+    Down = 5,
 }
 
 /// What reached a stand-in since it started.
@@ -31,13 +43,12 @@
     pub conns: AtomicU64,
     /// Set-ups (`new`) read.
     pub set_ups: AtomicU64,
-}
-
-/// Set-ups a second that a stand-in takes before its processor is full; none: no bound.
-struct Capacity {
-    per_s: f64,
-    tokens: f64,
-    at: std::time::Instant,
+    /// Set-ups answered.
+    pub answered: AtomicU64,
+    /// The longest wait told in a report since it was last asked for, ms.
+    pub wait_ms: AtomicU64,
+    /// Times that it fell over.
+    pub falls: AtomicU64,
 }
 
 /// A stand-in on a loopback port of its own; it stops serving when dropped.
@@ -46,8 +57,47 @@
     pub addr: SocketAddr,
     /// What reached it.
     pub counts: Arc<Counts>,
-    mode: Arc<AtomicU8>,
-    stop: Arc<AtomicBool>,
+    shared: Arc<Shared>,
+}
+
+struct Shared {
+    counts: Arc<Counts>,
+    mode: AtomicU8,
+    room: Mutex<Room>,
+    /// It fell over, and is down until then.
+    down_until: Mutex<Option<Instant>>,
+    stop: AtomicBool,
+}
+
+impl Shared {
+    fn room(&self) -> MutexGuard<'_, Room> {
+        self.room.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether nobody serves now; one that fell over starts again, cold, once its time is over.
+    fn down(&self) -> bool {
+        let mut until = self.down_until.lock().unwrap_or_else(PoisonError::into_inner);
+        match *until {
+            Some(at) if Instant::now() >= at => {
+                *until = None;
+                self.room().start(Instant::now());
+            }
+            Some(_) => return true,
+            None => {}
+        }
+        self.mode.load(Ordering::Relaxed) == Mode::Down as u8
+    }
+
+    fn fall(&self) {
+        let down = self.room().down();
+        self.counts.falls.fetch_add(1, Ordering::Relaxed);
+        let mut until = self.down_until.lock().unwrap_or_else(PoisonError::into_inner);
+        *until = Some(Instant::now() + down);
+    }
+
+    fn stopped(&self) -> bool {
+        self.stop.load(Ordering::Relaxed)
+    }
 }
 
 impl StandIn {
@@ -56,7 +106,7 @@
     /// # Errors
     /// The loopback port could not be had.
     pub fn start(mode: Mode) -> std::io::Result<StandIn> {
-        Self::start_with(mode, None)
+        Self::start_with(mode, Room::Unbounded)
     }
 
     /// One that answers while it has room, `per_s` set-ups a second over a burst of a tenth of a second, and turns
@@ -65,139 +115,162 @@
     /// # Errors
     /// The loopback port could not be had.
     pub fn with_capacity(per_s: f64) -> std::io::Result<StandIn> {
-        Self::start_with(Mode::Answer, Some(per_s))
+        Self::start_with(Mode::Answer, Room::bucket(per_s))
     }
 
-    /// One in this mode, and with room for `per_s` set-ups a second if given.
+    /// One in this mode, with this room.
     ///
     /// # Errors
     /// The loopback port could not be had.
-    pub fn start_with(mode: Mode, per_s: Option<f64>) -> std::io::Result<StandIn> {
-        let capacity = Arc::new(std::sync::Mutex::new(per_s.map(|per_s| Capacity {
-            per_s,
-            tokens: per_s / 10.0,
-            at: std::time::Instant::now(),
-        })));
+    pub fn start_with(mode: Mode, room: Room) -> std::io::Result<StandIn> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         listener.set_nonblocking(true)?;
         let addr = listener.local_addr()?;
-        let (counts, mode, stop) = (
-            Arc::new(Counts::default()),
-            Arc::new(AtomicU8::new(mode as u8)),
-            Arc::new(AtomicBool::new(false)),
-        );
-        let (c, m, s) = (counts.clone(), mode.clone(), stop.clone());
+        let counts = Arc::new(Counts::default());
+        let shared = Arc::new(Shared {
+            counts: counts.clone(),
+            mode: AtomicU8::new(mode as u8),
+            room: Mutex::new(room),
+            down_until: Mutex::new(None),
+            stop: AtomicBool::new(false),
+        });
+        let served = shared.clone();
         std::thread::spawn(move || {
-            while !s.load(Ordering::Relaxed) {
+            while !served.stopped() {
                 match listener.accept() {
+                    Ok((stream, _)) if served.down() => super::proxy::reset(stream),
                     Ok((stream, _)) => {
-                        c.conns.fetch_add(1, Ordering::Relaxed);
-                        let (c, m, s, room) = (c.clone(), m.clone(), s.clone(), capacity.clone());
-                        std::thread::spawn(move || serve(stream, &c, &m, &s, &room));
+                        served.counts.conns.fetch_add(1, Ordering::Relaxed);
+                        let shared = served.clone();
+                        std::thread::spawn(move || serve(stream, &shared));
                     }
                     Err(_) => std::thread::sleep(Duration::from_millis(2)),
                 }
             }
         });
-        Ok(StandIn { addr, counts, mode, stop })
+        Ok(StandIn { addr, counts, shared })
     }
 
-    /// From now on it serves in this mode (a set-up open is answered in the new one).
+    /// From now on it serves in this mode (a set-up open is answered in the new one). One that was down starts as a
+    /// new process: cold, its line empty.
     pub fn set_mode(&self, mode: Mode) {
-        self.mode.store(mode as u8, Ordering::Relaxed);
+        let before = self.shared.mode.swap(mode as u8, Ordering::Relaxed);
+        if before == Mode::Down as u8 && mode != Mode::Down {
+            self.shared.room().start(Instant::now());
+        }
     }
 
     /// Set-ups read so far.
     pub fn set_ups(&self) -> u64 {
         self.counts.set_ups.load(Ordering::Relaxed)
     }
+
+    /// The longest wait reported since it was last asked for, ms.
+    pub fn longest_wait_ms(&self) -> u64 {
+        self.counts.wait_ms.swap(0, Ordering::Relaxed)
+    }
 }
 
 impl Drop for StandIn {
     fn drop(&mut self) {
-        self.stop.store(true, Ordering::Relaxed);
+        self.shared.stop.store(true, Ordering::Relaxed);
     }
 }
 
-fn line(stream: &mut TcpStream, value: Value) -> std::io::Result<()> {
-    stream.write_all(format!("{value}\n").as_bytes())
-}
-
-/// Whether there is room for one more set-up now.
-fn room(capacity: &std::sync::Mutex<Option<Capacity>>) -> bool {
-    let mut capacity = capacity.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
-    let Some(c) = capacity.as_mut() else { return true };
-    let now = std::time::Instant::now();
-    c.tokens = (c.tokens + now.duration_since(c.at).as_secs_f64() * c.per_s).min(c.per_s / 10.0);
-    c.at = now;
-    let has = c.tokens >= 1.0;
-    if has {
-        c.tokens -= 1.0;
-    }
-    has
+fn line(value: &Value) -> String {
+    format!("{value}\n")
 }
 
-fn serve(
-    stream: TcpStream,
-    counts: &Counts,
-    mode: &AtomicU8,
-    stop: &AtomicBool,
-    capacity: &std::sync::Mutex<Option<Capacity>>,
-) {
+/// Answers on one connection, in the order of the line, until it closes or the server is gone.
+fn serve(stream: TcpStream, shared: &Shared) {
     let Ok(mut writer) = stream.try_clone() else { return };
-    if stream.set_read_timeout(Some(Duration::from_millis(50))).is_err() {
-        return;
-    }
+    let Ok(raw) = stream.try_clone() else { return };
     let zero = "0000000000000000";
-    if line(&mut writer, json!({"t": "gauge", "ref": zero, "f": {"load": "x0:90;x1:100;latency_ms:-1"}}))
-        .is_err()
-    {
+    let hello = line(&json!({"t": "gauge", "ref": zero, "f": {"load": "x0:90;x1:100;latency_ms:-1"}}));
+    if writer.write_all(hello.as_bytes()).is_err() {
         return;
     }
     let mut lines = BufReader::new(stream);
     let mut text = String::new();
-    while !stop.load(Ordering::Relaxed) {
+    let mut due: VecDeque<(Instant, String)> = VecDeque::new();
+    let mut heard = 0u64;
+    while !shared.stopped() {
+        if shared.down() {
+            return super::proxy::reset(writer);
+        }
+        while due.front().is_some_and(|(at, _)| *at <= Instant::now()) {
+            let Some((_, answer)) = due.pop_front() else { break };
+            if writer.write_all(answer.as_bytes()).is_err() {
+                return;
+            }
+        }
+        let next = due.front().map_or(TICK, |(at, _)| at.saturating_duration_since(Instant::now()));
+        if raw.set_read_timeout(Some(next.clamp(Duration::from_millis(1), TICK))).is_err() {
+            return;
+        }
         match lines.read_line(&mut text) {
             Ok(0) => return,
             Ok(_) => {}
-            Err(e) if matches!(e.kind(), std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut) => {
-                continue;
-            }
+            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => continue,
             Err(_) => return,
         }
-        let Ok(heard) = serde_json::from_str::<Value>(&text) else { return };
+        let Ok(message) = serde_json::from_str::<Value>(&text) else { return };
         text.clear();
-        let call = heard["ref"].clone();
-        let said = match heard["t"].as_str() {
+        let now = Instant::now();
+        match message["t"].as_str() {
             Some("new") => {
-                counts.set_ups.fetch_add(1, Ordering::Relaxed);
-                let mut mode = mode.load(Ordering::Relaxed);
-                if mode == Mode::Answer as u8 && !room(capacity) {
-                    mode = Mode::Full as u8;
-                }
-                if mode == Mode::Mute as u8 {
-                    Ok(())
-                } else if mode == Mode::Reset as u8 {
-                    let load = "x0:80;x1:100;latency_ms:5;can_take:400";
-                    line(&mut writer, json!({"t": "down", "ref": call, "f": {"load": load}, "c": 41}))
-                } else if mode == Mode::Full as u8 {
-                    let load = "x0:0;x1:100;latency_ms:3000;can_take:1";
-                    line(
-                        &mut writer,
-                        json!({"t": "down", "ref": call, "f": {"note": "ovl", "load": load}, "c": 34}),
-                    )
-                } else {
-                    let load = "x0:80;x1:100;latency_ms:5;can_take:400";
-                    line(&mut writer, json!({"t": "up", "ref": call, "f": {}, "d": "v=0"})).and_then(|()| {
-                        line(&mut writer, json!({"t": "down", "ref": call, "f": {"load": load}, "c": 16}))
-                    })
-                }
+                heard += 1;
+                let Some((after, answer)) = answer(&message["ref"], shared, heard, now) else { continue };
+                due.push_back((now + after, answer));
             }
-            Some("down") => line(&mut writer, json!({"t": "ack", "ref": call, "f": {}})),
-            _ => Ok(()),
-        };
-        if said.is_err() {
-            return;
+            Some("down") => {
+                due.push_back((now, line(&json!({"t": "ack", "ref": message["ref"], "f": {}}))));
+            }
+            _ => {}
+        }
+    }
+}
+
+/// The answer to the `heard`th set-up on a connection, and after what time it is given; none: never.
+fn answer(call: &Value, shared: &Shared, heard: u64, now: Instant) -> Option<(Duration, String)> {
+    shared.counts.set_ups.fetch_add(1, Ordering::Relaxed);
+    let mode = shared.mode.load(Ordering::Relaxed);
+    let down =
+        |cause: u32, load: &str| line(&json!({"t": "down", "ref": call, "f": {"load": load}, "c": cause}));
+    let well = "x0:80;x1:100;latency_ms:5;can_take:400";
+    if mode == Mode::Mute as u8 || mode == Mode::Down as u8 {
+        return None;
+    } else if mode == Mode::Reset as u8 {
+        return Some((Duration::ZERO, down(41, well)));
+    } else if mode == Mode::Flaky as u8 && heard.is_multiple_of(2) {
+        return Some((Duration::ZERO, down(38, well)));
+    }
+    let full = |wait_ms: f64, can_take: f64| {
+        let load = format!("x0:0;x1:100;latency_ms:{wait_ms:.0};can_take:{can_take:.0}");
+        line(&json!({"t": "down", "ref": call, "f": {"note": "ovl", "load": load}, "c": 34}))
+    };
+    if mode == Mode::Full as u8 {
+        return Some((Duration::ZERO, full(3000.0, 1.0)));
+    }
+    let mut room = shared.room();
+    let met = room.meet(now);
+    let can_take = room.can_take(now);
+    drop(room);
+    match met {
+        Met::Fell => {
+            shared.fall();
+            None
+        }
+        Met::Full(wait_ms) => {
+            shared.counts.wait_ms.fetch_max(wait_ms as u64, Ordering::Relaxed);
+            Some((Duration::ZERO, full(wait_ms, can_take)))
+        }
+        Met::Answered(after, wait_ms) => {
+            shared.counts.wait_ms.fetch_max(wait_ms as u64, Ordering::Relaxed);
+            shared.counts.answered.fetch_add(1, Ordering::Relaxed);
+            let load = format!("x0:80;x1:100;latency_ms:{wait_ms:.0};can_take:{can_take:.0}");
+            let up = line(&json!({"t": "up", "ref": call, "f": {}, "d": "v=0"}));
+            Some((after, up + &down(16, &load)))
         }
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -37,7 +37,9 @@
 pub mod logger;
 pub mod net;
 pub mod policy;
+pub mod recovery;
 pub mod settings;
+pub mod worth;
 
 pub use interface::*;
 pub use policy::Controller;
--- a/src/limits/budget.rs
+++ b/src/limits/budget.rs
@@ -53,19 +53,23 @@
         self.slice(now).firsts += 1;
     }
 
-    /// Second attempts that the budget would still let through at `now`, ms.
-    pub fn left(&mut self, now: f64) -> f64 {
+    /// Second attempts that the budget would still let through at `now`, ms, and all that it lets through over the
+    /// window, by one of `fleet` processes: the floor is the whole fleet's.
+    pub fn left(&mut self, now: f64, fleet: u32) -> (f64, f64) {
         self.slice(now);
         let (firsts, retries) = self
             .slices
             .iter()
             .fold((0.0, 0.0), |(f, r), s| (f + f64::from(s.firsts), r + f64::from(s.retries)));
-        self.ratio * firsts + self.floor - retries
+        let whole = self.ratio * firsts + self.floor / f64::from(fleet.max(1));
+        (whole - retries, whole)
     }
 
-    /// Takes one second attempt from the budget at `now`, ms, if there is one to take.
-    pub fn try_retry(&mut self, now: f64) -> bool {
-        if self.left(now) >= 1.0 {
+    /// Takes one second attempt from the budget at `now`, ms, if there is one to take beyond the part of it, 0 to 1,
+    /// that is kept for others.
+    pub fn try_retry(&mut self, now: f64, kept: f64, fleet: u32) -> bool {
+        let (left, whole) = self.left(now, fleet);
+        if left - kept * whole >= 1.0 {
             self.slice(now).retries += 1;
             true
         } else {
@@ -79,7 +83,13 @@
     use super::*;
 
     fn budget(ratio: f64, min_per_s: f64) -> RetryBudget {
-        RetryBudget::new(&BudgetSettings { ratio, min_per_s, window_ms: 10_000.0, stay_away_ms: 0.0 })
+        RetryBudget::new(&BudgetSettings {
+            ratio,
+            min_per_s,
+            window_ms: 10_000.0,
+            stay_away_ms: 0.0,
+            kept: 0.0,
+        })
     }
 
     #[test]
@@ -91,7 +101,7 @@
             let now = ms as f64;
             b.first(now);
             firsts += 1;
-            retries += usize::from(b.try_retry(now));
+            retries += usize::from(b.try_retry(now, 0.0, 1));
         }
         let share = retries as f64 / firsts as f64;
         assert!(share <= 0.2 + 0.5 / 100.0 + 0.01, "{share}");
@@ -101,22 +111,38 @@
     #[test]
     fn without_first_attempts_only_the_floor_is_left() {
         let mut b = budget(0.5, 1.0);
-        let sent = (0..1000).filter(|i| b.try_retry(*i as f64)).count();
+        let sent = (0..1000).filter(|i| b.try_retry(*i as f64, 0.0, 1)).count();
         assert_eq!(sent, 10, "1 a second over a window of 10 s");
     }
 
     #[test]
     fn the_budget_comes_back_as_the_window_slides() {
         let mut b = budget(0.0, 1.0);
-        assert_eq!((0..50).filter(|_| b.try_retry(0.0)).count(), 10);
-        assert!(!b.try_retry(9_999.0));
-        assert!(b.try_retry(10_500.0), "the first slice fell out of the window");
+        assert_eq!((0..50).filter(|_| b.try_retry(0.0, 0.0, 1)).count(), 10);
+        assert!(!b.try_retry(9_999.0, 0.0, 1));
+        assert!(b.try_retry(10_500.0, 0.0, 1), "the first slice fell out of the window");
+    }
+
+    #[test]
+    fn the_floor_is_the_whole_fleets() {
+        let sent = |fleet: u32| -> usize {
+            let mut budgets: Vec<RetryBudget> = (0..fleet).map(|_| budget(0.0, 4.0)).collect();
+            budgets.iter_mut().map(|b| (0..100).filter(|_| b.try_retry(0.0, 0.0, fleet)).count()).sum()
+        };
+        assert_eq!([sent(1), sent(5), sent(20)], [40, 40, 40], "4 a second over a window of 10 s, by all");
+    }
+
+    #[test]
+    fn the_kept_part_is_there_for_those_it_is_kept_for() {
+        let mut b = budget(0.0, 1.0);
+        assert_eq!((0..50).filter(|_| b.try_retry(0.0, 0.5, 1)).count(), 5);
+        assert_eq!((0..50).filter(|_| b.try_retry(0.0, 0.0, 1)).count(), 5);
     }
 
     #[test]
     fn a_zero_budget_lets_nothing_through() {
         let mut b = budget(0.0, 0.0);
         b.first(0.0);
-        assert!(!b.try_retry(1.0));
+        assert!(!b.try_retry(1.0, 0.0, 1));
     }
 }
--- a/src/limits/mod.rs
+++ b/src/limits/mod.rs
@@ -6,17 +6,21 @@
 //! ([`Limits::may_retry`]) and before it dials a call server again that could not be reached
 //! ([`Limits::redial_after`]); percent blocking keeps deciding *b*, nothing of it moves here.
 //!
-//! Three parts, each of its own file: a retry budget per call server (`budget`), reconnect back-off with
-//! decorrelated jitter (`backoff`), and a fleet-wide bound on dials to a call server that is down (`pacing`).
+//! Four parts, each of its own file: a retry budget per call server (`budget`), the shedding of first attempts of the
+//! lowest worth once the budgets shed too much (`gate`), reconnect back-off with decorrelated jitter (`backoff`), and
+//! a fleet-wide bound on dials to a call server that is down (`pacing`).
 
 mod backoff;
 mod budget;
+mod gate;
 mod pacing;
 mod settings;
 
 pub use backoff::Backoff;
 pub use budget::RetryBudget;
+pub use gate::FirstGate;
 pub use pacing::Pacing;
+use settings::BudgetSettings;
 pub use settings::LimitSettings;
 
 use crate::interface::ServerId;
@@ -31,6 +35,8 @@
     pub retries_sent: u64,
     /// First attempts counted.
     pub firsts: u64,
+    /// First attempts shed, the lowest worth first.
+    pub firsts_shed: u64,
 }
 
 /// The limits of one process: a budget and a back-off per call server, one pacing for all.
@@ -39,6 +45,7 @@
     settings: LimitSettings,
     budgets: HashMap<ServerId, RetryBudget>,
     backoffs: HashMap<ServerId, Backoff>,
+    gate: FirstGate,
     pacing: Pacing,
     seed: u64,
     shed: Shed,
@@ -49,8 +56,10 @@
     /// phase.
     pub fn new(settings: LimitSettings, seed: u64) -> Self {
         let pacing = Pacing::new(settings.probes.fleet_per_s, seed);
+        let gate = FirstGate::new(&settings.first_attempts, settings.retry_budget.window_ms, seed);
         Limits {
             settings,
+            gate,
             budgets: HashMap::new(),
             backoffs: HashMap::new(),
             pacing,
@@ -73,20 +82,34 @@
         self.budgets.entry(server).or_insert_with(|| RetryBudget::new(settings))
     }
 
+    /// Whether a first attempt of a call of this worth may go out at `now`, ms, wherever it goes. One that may not is
+    /// shed: its call gets its final answer at once.
+    pub fn admits_first(&mut self, worth: f64, now: f64) -> bool {
+        let admitted = self.gate.admits(worth, now);
+        self.shed.firsts_shed += u64::from(!admitted);
+        admitted
+    }
+
     /// A first attempt goes to this call server at `now`, ms: it adds to the budget of second attempts.
     pub fn first_sent(&mut self, server: ServerId, now: f64) {
         self.shed.firsts += 1;
         self.budget(server).first(now);
     }
 
-    /// Whether a second (or later) attempt may go to this call server at `now`, ms; if so it is counted as
-    /// sent. One that may not is shed: its call gets its final answer at once.
-    pub fn may_retry(&mut self, server: ServerId, now: f64) -> bool {
-        let allowed = self.budget(server).try_retry(now);
+    /// Whether a second (or later) attempt of a call of this worth may go to this call server at `now`, ms; if so it
+    /// is counted as sent. One that may not is shed: its call gets its final answer at once. Of a budget that runs
+    /// short, part is kept for calls worth more, as far as such calls come. `fleet` is the number of border
+    /// controllers in front of it, this one included.
+    pub fn may_retry(&mut self, server: ServerId, worth: f64, now: f64, fleet: u32) -> bool {
+        let BudgetSettings { kept, ratio, .. } = self.settings.retry_budget;
+        let above = self.gate.above(worth, now);
+        let kept = kept * if ratio > 0.0 { (above / ratio).min(1.0) } else { above };
+        let allowed = self.budget(server).try_retry(now, kept, fleet);
         if allowed {
             self.shed.retries_sent += 1;
         } else {
             self.shed.retries += 1;
+            self.gate.retry_shed(worth, now);
         }
         allowed
     }
@@ -144,12 +167,32 @@
         for i in 0..100 {
             limits.first_sent(s, i as f64 * 10.0);
         }
-        let sent = (0..100).filter(|i| limits.may_retry(s, 1000.0 + *i as f64)).count() as u64;
+        let sent = (0..100).filter(|i| limits.may_retry(s, 1.0, 1000.0 + *i as f64, 1)).count() as u64;
         let shed = limits.shed();
         assert_eq!((shed.firsts, shed.retries_sent, shed.retries), (100, sent, 100 - sent));
         assert!(sent < 100 && sent > 0, "{sent} of 100 retries sent");
     }
 
+    #[test]
+    fn a_short_budget_serves_the_dear_calls_first() {
+        let mut limits = Limits::new(LimitSettings::default(), 7);
+        let s = ServerId(1);
+        let mut sent = [0, 0];
+        // A second for each of 3000 calls in 30 s, every third of worth 3, and every second call wants one.
+        for i in 0..3000u32 {
+            let (now, dear) = (f64::from(i) * 10.0, i % 3 == 0);
+            let worth = if dear { 3.0 } else { 1.0 };
+            limits.admits_first(worth, now);
+            limits.first_sent(s, now);
+            if i % 2 == 0 {
+                sent[usize::from(dear)] += u32::from(limits.may_retry(s, worth, now, 1));
+            }
+        }
+        // 500 dear calls want one and 1000 cheap ones; the budget has some 330.
+        assert!(sent[1] > 5 * sent[0], "{sent:?}");
+        assert!(sent[0] + sent[1] <= 340, "{sent:?}");
+    }
+
     #[test]
     fn dials_of_a_server_that_stays_down_spread_out_and_start_afresh_when_reached() {
         let mut limits = Limits::new(LimitSettings::default(), 7);
--- a/src/limits/settings.rs
+++ b/src/limits/settings.rs
@@ -4,9 +4,13 @@
 //! ```yaml
 //! retry_budget:
 //!   ratio: 0.1          # second attempts to a call server, as a share of first attempts to it
-//!   min_per_s: 1.0      # and so many a second besides, so that a quiet server can still be tried again
+//!   min_per_s: 1.0      # and so many a second besides by the whole fleet, so that a quiet server is tried again
 //!   window_ms: 10000    # over this sliding window
 //!   stay_away_ms: 1000  # advice with a shed retry, no longer than the settings let callers heed
+//!   kept: 0.5           # part of a budget kept for calls worth more, where such calls come
+//! first_attempts:
+//!   shed_from: 0.3      # once retries are shed for more than this share of first attempts, the excess of these is shed
+//!   most: 0.5           # but no more than this share; 0: none ever
 //! redial:
 //!   base_ms: 300        # the first gap before a call server that could not be reached is dialled again
 //!   cap_ms: 5000        # the longest gap
@@ -23,6 +27,8 @@
     #[serde(default)]
     pub retry_budget: BudgetSettings,
     #[serde(default)]
+    pub first_attempts: FirstSettings,
+    #[serde(default)]
     pub redial: RedialSettings,
     #[serde(default)]
     pub probes: ProbeSettings,
@@ -35,11 +41,25 @@
     pub min_per_s: f64,
     pub window_ms: f64,
     pub stay_away_ms: f64,
+    pub kept: f64,
 }
 
 impl Default for BudgetSettings {
     fn default() -> Self {
-        BudgetSettings { ratio: 0.1, min_per_s: 1.0, window_ms: 10_000.0, stay_away_ms: 1000.0 }
+        BudgetSettings { ratio: 0.1, min_per_s: 1.0, window_ms: 10_000.0, stay_away_ms: 1000.0, kept: 0.5 }
+    }
+}
+
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields, default)]
+pub struct FirstSettings {
+    pub shed_from: f64,
+    pub most: f64,
+}
+
+impl Default for FirstSettings {
+    fn default() -> Self {
+        FirstSettings { shed_from: 0.3, most: 0.5 }
     }
 }
 
@@ -89,6 +109,9 @@
             ("retry_budget.min_per_s", b.min_per_s),
             ("retry_budget.window_ms", b.window_ms),
             ("retry_budget.stay_away_ms", b.stay_away_ms),
+            ("retry_budget.kept", b.kept),
+            ("first_attempts.shed_from", self.first_attempts.shed_from),
+            ("first_attempts.most", self.first_attempts.most),
             ("redial.base_ms", self.redial.base_ms),
             ("redial.cap_ms", self.redial.cap_ms),
             ("probes.fleet_per_s", self.probes.fleet_per_s),
@@ -99,6 +122,9 @@
         if b.window_ms < 100.0 {
             return Err(format!("retry_budget.window_ms is {}: 100 or more is wanted", b.window_ms));
         }
+        if b.kept > 1.0 || self.first_attempts.most > 1.0 {
+            return Err("retry_budget.kept and first_attempts.most are shares: 0 to 1 is wanted".to_owned());
+        }
         if self.redial.cap_ms < self.redial.base_ms || self.redial.base_ms < 1.0 {
             return Err("redial: 1 <= base_ms <= cap_ms is wanted".to_owned());
         }
--- a/src/logger.rs
+++ b/src/logger.rs
@@ -1,13 +1,25 @@
 //! The program's logger: one line an entry on standard error.
 
+use log::kv::{Key, Value, VisitSource};
 use log::{LevelFilter, Log, Metadata, Record};
-use std::io::Write;
+use std::fmt::Write as _;
+use std::io::Write as _;
 use std::time::{SystemTime, UNIX_EPOCH};
 
 struct Lines {
     name: String,
 }
 
+/// An entry's fields, each as ` key=value` at the end of its line.
+struct Fields(String);
+
+impl<'kvs> VisitSource<'kvs> for Fields {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), log::kv::Error> {
+        let _ = write!(self.0, " {key}={value}");
+        Ok(())
+    }
+}
+
 impl Log for Lines {
     fn enabled(&self, metadata: &Metadata) -> bool {
         metadata.level() <= log::max_level()
@@ -19,8 +31,12 @@
         }
         let at = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let (s, ms, level) = (at.as_secs(), at.subsec_millis(), record.level());
+        let mut fields = Fields(String::new());
+        // Writing to a text does not fail.
+        let _ = record.key_values().visit(&mut fields);
         // A log that can't be written is no reason to stop serving.
-        let _ = writeln!(std::io::stderr().lock(), "{s}.{ms:03} {} {level} {}", self.name, record.args());
+        let (name, said) = (&self.name, record.args());
+        let _ = writeln!(std::io::stderr().lock(), "{s}.{ms:03} {name} {level} {said}{}", fields.0);
     }
 
     fn flush(&self) {}
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,6 +3,7 @@
 use argh::{EarlyExit, FromArgs};
 use corkreach::fronts::Fronts;
 use corkreach::limits::LimitSettings;
+use corkreach::recovery::{self, SiteSettings};
 use corkreach::{config, logger, net};
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -21,6 +22,7 @@
     Serve(Serve),
     Check(Check),
     Lab(Lab),
+    Plan(Plan),
     Version(Version),
 }
 
@@ -43,6 +45,9 @@
     /// the operator's file of fleet limits, YAML (else GW_LIMITS, else none: no retry budget, fixed redials)
     #[argh(option)]
     limits: Option<PathBuf>,
+    /// the operator's file of sites, YAML (else GW_SITES, else none: no plan for the loss of a site)
+    #[argh(option)]
+    sites: Option<PathBuf>,
     /// least weighty log lines written: error, warn, info, debug or trace (info)
     #[argh(option, default = "log::LevelFilter::Info")]
     log: log::LevelFilter,
@@ -71,6 +76,27 @@
     /// a seed in place of the scenario's
     #[argh(option)]
     seed: Option<u64>,
+    /// border controllers in place of the scenario's; the load offered in all stays the same
+    #[argh(option)]
+    instances: Option<usize>,
+}
+
+/// Say what the plan for the loss of a site does once given sites are lost. Nothing is started or asked.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "plan")]
+struct Plan {
+    /// the operator's file of sites, YAML
+    #[argh(option)]
+    sites: PathBuf,
+    /// a site that is lost; may be given more than once
+    #[argh(option)]
+    lose: Vec<String>,
+    /// a class of calls, its worth and its part of them, as verdict-set:3:0.3; may be given more than once
+    #[argh(option)]
+    class: Vec<String>,
+    /// print JSON in place of a table
+    #[argh(switch)]
+    json: bool,
 }
 
 /// Print the version.
@@ -94,6 +120,24 @@
     Ok(config::Source { path, listen, management, name: variable("GW_NAME") })
 }
 
+/// A class as `--class` gives it.
+fn mix(text: &str) -> Result<recovery::Mix, String> {
+    let wrong = || format!("--class {text}: NAME:WORTH:PART is wanted, with a part above 0");
+    let mut fields = text.split(':');
+    let (Some(class), Some(worth), Some(part), None) =
+        (fields.next(), fields.next(), fields.next(), fields.next())
+    else {
+        return Err(wrong());
+    };
+    let figure = |text: &str| text.parse::<f64>().ok().filter(|n| n.is_finite());
+    match (figure(worth), figure(part).filter(|part| *part > 0.0)) {
+        (Some(worth), Some(part)) if !class.is_empty() => {
+            Ok(recovery::Mix { class: class.to_owned(), worth, part })
+        }
+        _ => Err(wrong()),
+    }
+}
+
 fn run(command: Command) -> Result<(), String> {
     match command {
         Command::Serve(serve) => {
@@ -103,8 +147,10 @@
             let fronts = fronts.map_or_else(|| Ok(Fronts::default()), |path| Fronts::read(&path))?;
             let limits = serve.limits.or_else(|| std::env::var_os("GW_LIMITS").map(PathBuf::from));
             let limits = limits.map(|path| LimitSettings::read(&path)).transpose()?;
+            let sites = serve.sites.or_else(|| std::env::var_os("GW_SITES").map(PathBuf::from));
+            let sites = sites.map(|path| SiteSettings::read(&path)).transpose()?;
             logger::start(&config.name, serve.log)?;
-            net::driver::run(config, source, fronts, limits)
+            net::driver::run(config, source, fronts, net::driver::Decisions { limits, sites })
         }
         Command::Check(check) => {
             let config = source(check.config, None, None)?.read()?;
@@ -119,6 +165,9 @@
         Command::Lab(lab) => {
             let mut scenario = corkreach::lab::Scenario::read(&lab.scenario)?;
             scenario.seed = lab.seed.unwrap_or(scenario.seed);
+            if let Some(n) = lab.instances {
+                scenario.resize(n);
+            }
             let program = std::env::current_exe().map_err(|e| format!("this program's path: {e}"))?;
             let figures = corkreach::lab::play(&scenario, &program, &lab.out)?;
             let summary = corkreach::lab::results::write(&figures, &lab.out)?;
@@ -126,6 +175,22 @@
             println!("results in {}", lab.out.display());
             Ok(())
         }
+        Command::Plan(plan) => {
+            let settings = SiteSettings::read(&plan.sites)?;
+            if plan.lose.is_empty() {
+                return Err("no site to lose: give --lose".into());
+            }
+            let mix = plan.class.iter().map(|text| mix(text)).collect::<Result<Vec<_>, _>>()?;
+            let one = recovery::Mix { class: "all".into(), worth: 1.0, part: 1.0 };
+            let mix = if mix.is_empty() { vec![one] } else { mix };
+            let run = recovery::dry_run(&settings, &plan.lose, &mix)?;
+            if plan.json {
+                println!("{}", serde_json::to_string_pretty(&run).map_err(|e| e.to_string())?);
+            } else {
+                print!("{}", run.table());
+            }
+            Ok(())
+        }
         Command::Version(_) => {
             println!("corkreach {}", env!("CARGO_PKG_VERSION"));
             Ok(())
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -10,6 +10,7 @@
 };
 use crate::fronts::Fronts;
 use crate::limits::{LimitSettings, Limits};
+use crate::recovery::{Recovery, SiteSettings};
 use std::cell::Cell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -53,23 +54,27 @@
     }
 }
 
+/// The decision modules beside percent blocking that the operator's files turn on; none of them by default.
+#[derive(Debug, Default)]
+pub struct Decisions {
+    /// Fleet limits.
+    pub limits: Option<LimitSettings>,
+    /// The plan for the loss of a site.
+    pub sites: Option<SiteSettings>,
+}
+
 /// Runs the border controller until it is stopped.
-pub fn run(
-    config: Config,
-    source: Source,
-    fronts: Fronts,
-    limits: Option<LimitSettings>,
-) -> Result<(), String> {
+pub fn run(config: Config, source: Source, fronts: Fronts, decisions: Decisions) -> Result<(), String> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
-    LocalSet::new().block_on(&runtime, serve(config, source, fronts, limits))
+    LocalSet::new().block_on(&runtime, serve(config, source, fronts, decisions))
 }
 
 async fn serve(
     mut config: Config,
     source: Source,
     fronts: Fronts,
-    limits: Option<LimitSettings>,
+    decisions: Decisions,
 ) -> Result<(), String> {
     // First of all: a SIGHUP without a handler ends the program.
     let mut hangups = signal(SignalKind::hangup()).map_err(|e| format!("signals: {e}"))?;
@@ -87,7 +92,7 @@
         }
         None => None,
     };
-    let mut driver = Driver::new(&config, sender.clone(), names, fronts, limits);
+    let mut driver = Driver::new(&config, sender.clone(), names, fronts, decisions);
     tokio::task::spawn_local(beat(driver.clock.clone()));
     tokio::task::spawn_local(names::poll(at, config.seed, sender));
     let listening = listener.local_addr().map_err(|e| format!("listening: {e}"))?;
@@ -180,14 +185,18 @@
         events: mpsc::Sender<Event>,
         names: watch::Sender<SocketAddr>,
         fronts: Fronts,
-        limits: Option<LimitSettings>,
+        decisions: Decisions,
     ) -> Self {
         let clock = Clock::default();
         let mut engine = Engine::new(config.settings.clone(), config.host.clone(), config.seed, clock.now());
-        if let Some(settings) = limits {
+        if let Some(settings) = decisions.limits {
             log::info!("fleet limits on: {settings:?}");
             engine = engine.with_limits(Limits::new(settings, config.seed));
         }
+        if let Some(settings) = decisions.sites {
+            log::info!("plan for the loss of a site on: {settings:?}");
+            engine = engine.with_recovery(Recovery::new(settings, config.seed));
+        }
         Driver {
             engine,
             clock,
--- a/src/net/names.rs
+++ b/src/net/names.rs
@@ -139,6 +139,7 @@
         let started_at: Option<f64> = field("started").and_then(|v| v.parse().ok());
         servers.push(Listing {
             name: String::from_utf8_lossy(label).into_owned(),
+            zone: target.iter().nth(1).map(|zone| String::from_utf8_lossy(zone).into_owned()),
             addr: SocketAddr::from((*address, srv.port)),
             place,
             state: if srv.priority == 0 { Listed::Ready } else { Listed::Draining },
--- a/src/net/operators.rs
+++ b/src/net/operators.rs
@@ -1,6 +1,7 @@
 //! Operators: HTTP/1.1 at an address of its own, one call a connection.
 
 use crate::engine::{Figures, OperatorAnswer, OperatorAsk};
+use crate::recovery::{RecoveryFigures, State};
 use bytes::{BufMut, BytesMut};
 use futures_util::{SinkExt, StreamExt};
 use std::collections::VecDeque;
@@ -188,10 +189,39 @@
         for (outcome, n) in [("sent", shed.retries_sent), ("shed", shed.retries)] {
             let _ = writeln!(text, "gw_retries{{outcome=\"{outcome}\"}} {n}");
         }
+        let _ = writeln!(
+            text,
+            "# TYPE gw_first_attempts_shed counter\ngw_first_attempts_shed {}",
+            shed.firsts_shed
+        );
+    }
+    if let Some(recovery) = &figures.recovery {
+        sites(recovery, &mut text);
     }
     text
 }
 
+/// The sites' part of the figures, where there is a plan for their loss.
+fn sites(recovery: &RecoveryFigures, text: &mut String) {
+    let _ = writeln!(text, "# TYPE gw_site_state gauge");
+    for s in &recovery.sites {
+        for state in [State::Up, State::Lost, State::Returning] {
+            let (name, is) = (state.name(), u8::from(s.state == state));
+            let _ = writeln!(text, "gw_site_state{{site={:?},state={name:?}}} {is}", s.site);
+        }
+    }
+    let _ = writeln!(text, "# TYPE gw_site_share gauge");
+    for s in &recovery.sites {
+        let _ = writeln!(text, "gw_site_share{{site={:?}}} {:.3}", s.site, s.share);
+    }
+    let _ = writeln!(text, "# TYPE gw_site_calls_moved counter");
+    for s in &recovery.sites {
+        let _ = writeln!(text, "gw_site_calls_moved{{site={:?}}} {}", s.site, s.moved);
+    }
+    let _ = writeln!(text, "# TYPE gw_no_room_refused counter\ngw_no_room_refused {}", recovery.refused);
+    let _ = writeln!(text, "# TYPE gw_no_room_share gauge\ngw_no_room_share {:.3}", recovery.refused_share);
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -200,11 +230,34 @@
     fn retries_are_shown_only_where_the_fleet_limits_are_on() {
         let off = Figures::default();
         assert!(!text(&off).contains("gw_retries"));
-        let shed = crate::limits::Shed { retries: 3, retries_sent: 5, firsts: 40 };
+        let shed = crate::limits::Shed { retries: 3, retries_sent: 5, firsts: 40, firsts_shed: 2 };
         let on = text(&Figures { limits: Some(shed), ..Figures::default() });
         assert!(
             on.contains("gw_retries{outcome=\"sent\"} 5\n")
                 && on.contains("gw_retries{outcome=\"shed\"} 3\n")
+                && on.contains("gw_first_attempts_shed 2\n")
         );
     }
+
+    #[test]
+    fn sites_are_shown_only_where_there_is_a_plan() {
+        assert!(!text(&Figures::default()).contains("gw_site"));
+        let site = crate::recovery::SiteFigures {
+            site: "aarhus".into(),
+            state: State::Returning,
+            share: 0.25,
+            moved: 12,
+        };
+        let recovery = RecoveryFigures { sites: vec![site], refused: 4, refused_share: 0.05 };
+        let text = text(&Figures { recovery: Some(recovery), ..Figures::default() });
+        for line in [
+            "gw_site_state{site=\"aarhus\",state=\"returning\"} 1\n",
+            "gw_site_state{site=\"aarhus\",state=\"up\"} 0\n",
+            "gw_site_share{site=\"aarhus\"} 0.250\n",
+            "gw_site_calls_moved{site=\"aarhus\"} 12\n",
+            "gw_no_room_refused 4\n",
+        ] {
+            assert!(text.contains(line), "{line} in {text}");
+        }
+    }
 }
--- a/tests/lab/main.rs
+++ b/tests/lab/main.rs
@@ -12,6 +12,8 @@
 mod speech;
 
 mod fleet;
+mod scenarios;
+mod sites;
 use corkreach::lab::proxy;
 use corkreach::lab::standin;
 
