Audit the fleet: versions told, decisions recorded, stragglers brought up or shut out

POST /control/reload and /control/shut-out do on one instance what the audit orders. A reload that would need other classes now changes nothing.

--- a/src/config.rs
+++ b/src/config.rs
@@ -24,6 +24,8 @@
     pub settings: Settings,
     pub host: HostSettings,
     pub columns: Vec<Column>,
+    /// Digests of the configuration and of its settings (`crate::version`).
+    pub digests: (String, String),
 }
 
 #[derive(Deserialize)]
@@ -123,6 +125,7 @@
             ..settings::parse_host(inner.as_bytes())?
         },
         columns,
+        digests: crate::version::digests(text)?,
     })
 }
 
--- a/src/engine/answers.rs
+++ b/src/engine/answers.rs
@@ -2,6 +2,7 @@
 
 use super::calls::{Attempt, Call, Stage, Standing};
 use super::{CallerConn, Effect, Ending, Engine, Release, ServerConn, ToCaller, ToServer};
+use crate::audit::Decision;
 use crate::interface::{self as module, CallId, LoadReport, Outcome, ServerId};
 
 impl Engine {
@@ -37,6 +38,7 @@
         (call.description, call.number) = (String::new(), None);
         let (caller, class) = (call.conn, call.class);
         self.count(class, |o| &mut o.stood);
+        self.decided(id, out, || Decision::Answered { server: self.fleet.name(server).to_owned() });
         out.push(Effect::ToCaller { conn: caller, message: ToCaller::Answer { call: id, description } });
         let after_ms = self.now - attempt.sent_at;
         self.passed_on(server, conn, attempt.sent_at);
@@ -107,6 +109,7 @@
         let Some(standing) = call.standing.take() else { return };
         let conn = call.conn;
         self.calls.forget(id);
+        self.decided(id, out, || Decision::Released);
         self.tell_any_caller(conn, ToCaller::Released { call: id, how }, out);
         let outcome = if how == Release::Completed { Outcome::Completed } else { Outcome::Reset };
         self.tell_ended(id, standing.server, outcome, true, report);
--- a/src/engine/calls.rs
+++ b/src/engine/calls.rs
@@ -1,6 +1,7 @@
 //! Calls and their attempts: from the set-up to the one final answer, and to the release of what stood.
 
 use super::{CallerConn, Due, Effect, Engine, Fault, ServerConn, SetUp, ToCaller, ToServer};
+use crate::audit::Decision;
 use crate::interface::{self as module, CallId, LoadReport, Outcome, ServerId};
 use crate::settings::ClassRules;
 use std::collections::{BTreeMap, HashSet, VecDeque};
@@ -188,6 +189,7 @@
         self.in_range(&self.host.classes[class], &set_up)?;
         if !self.takes_calls() || !self.drain_takes() || self.calls.in_set_up() >= self.host.open_cap {
             self.count(class, |o| &mut o.refused);
+            self.decided(id, out, || Decision::Refused { stay_away_ms: 0 });
             let refused = ToCaller::Refused { call: id, stay_away_ms: 0.0 };
             out.push(Effect::ToCaller { conn, message: refused });
             self.close_if_done(conn, out);
@@ -197,11 +199,13 @@
             Ok(place) => place,
             Err(stay_away_ms) => {
                 self.count(class, |o| &mut o.refused);
+                self.decided(id, out, || Decision::Refused { stay_away_ms: stay_away_ms as u32 });
                 out.push(Effect::ToCaller { conn, message: ToCaller::Refused { call: id, stay_away_ms } });
                 self.close_if_done(conn, out);
                 return Ok(());
             }
         };
+        self.decided(id, out, || Decision::Admitted { class: self.host.classes[class].name.clone() });
         // The time that it lay unread is part of its caller's wait.
         let deadline = read_at.min(self.now) + set_up.wait_ms;
         self.news.push_back(module::Event::Call(module::Call {
@@ -254,6 +258,7 @@
         let Some(call) = self.calls.live.get_mut(&id) else { return self.calls.ended.all.contains(&id) };
         if let Some(standing) = call.standing.take() {
             self.calls.forget(id);
+            self.decided(id, out, || Decision::Released);
             self.release_at(standing.server, Some(standing.conn), id, out);
             self.tell_ended(id, standing.server, Outcome::Cancelled, true, LoadReport::default());
         } else if !call.answered && call.conn == conn {
@@ -268,6 +273,7 @@
         let Some(call) = self.calls.live.get_mut(&id) else { return };
         call.answered = true;
         let conn = call.conn;
+        self.decided(id, out, || Decision::GivenUp);
         self.news.push_back(module::Event::CallerLeft(id));
         self.end_out(id, Outcome::Cancelled, out);
         self.tidy(id);
@@ -284,6 +290,10 @@
         call.answered = true;
         let (conn, class) = (call.conn, call.class);
         let refused = matches!(message, ToCaller::Refused { .. });
+        self.decided(id, out, || match message {
+            ToCaller::Refused { stay_away_ms, .. } => Decision::Refused { stay_away_ms: stay_away_ms as u32 },
+            _ => Decision::Failed,
+        });
         self.count(class, |o| if refused { &mut o.refused } else { &mut o.failed });
         out.push(Effect::ToCaller { conn, message });
         self.end_out(id, Outcome::Cancelled, out);
@@ -353,6 +363,14 @@
         }
         call.attempts += 1;
         call.attempt = Some(Attempt { number, server, sent_at: now, stage: Stage::Waiting });
+        self.decided(id, out, || {
+            let name = self.fleet.name(server).to_owned();
+            if number == 0 {
+                Decision::Routed { server: name }
+            } else {
+                Decision::Retried { server: name, attempt: number }
+            }
+        });
         if timeout_ms > 0.0 {
             self.timers.set(now + timeout_ms, Due::AttemptOver(id, number));
         }
--- a/src/engine/messages.rs
+++ b/src/engine/messages.rs
@@ -24,6 +24,12 @@
     /// Drain: take nothing new, and let what is there come to its end.
     OutOfService,
     InService,
+    /// What it is on, and how it stands.
+    Status,
+    /// Read the configuration again; the driver does it, and answers as to `Status`.
+    Reload,
+    /// As out of service, and set-ups are refused sooner: it acts on a version that it should not.
+    ShutOut,
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -31,6 +37,23 @@
     Ready(bool),
     Figures(Box<Figures>),
     Done,
+    /// The engine's part of a status.
+    Standing(Standing),
+    /// The whole status.
+    Status(Box<crate::version::Status>),
+}
+
+/// How the process stands, as the engine knows it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Standing {
+    /// Work may come.
+    pub ready: bool,
+    /// An operator took it out of service, or shut it out.
+    pub out_of_service: bool,
+    /// Serial of the list that it follows.
+    pub list: u32,
+    /// Set-ups that wait for their answer, and calls that stand.
+    pub in_progress: usize,
 }
 
 /// How set-ups of a class ended, since the start.
@@ -280,6 +303,8 @@
         confirm: bool,
     },
     CloseServer(ServerConn),
+    /// To be written to the audit log before any effect beside it is carried out.
+    Record(crate::audit::Record),
     ToOperator {
         conn: OperatorConn,
         answer: OperatorAnswer,
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -16,6 +16,7 @@
 
 pub use messages::*;
 
+use crate::audit::{Decision, Record};
 use crate::interface::{self as module, Action, CallId, Outcome, ServerId, Settings};
 use crate::limits::Limits;
 use crate::policy::Controller;
@@ -88,6 +89,10 @@
     successor: bool,
     /// An operator ordered the drain then.
     out_of_service: Option<f64>,
+    /// And it was to shut it out.
+    shut_out: bool,
+    /// Decisions are recorded.
+    audited: bool,
     /// How set-ups ended, by class, and the attempts sent: what operators read.
     outcomes: Vec<Outcomes>,
     tries: u64,
@@ -120,6 +125,8 @@
             stopping: None,
             successor: false,
             out_of_service: None,
+            shut_out: false,
+            audited: false,
             outcomes: Vec::new(),
             tries: 0,
             exiting: false,
@@ -132,6 +139,24 @@
         self
     }
 
+    /// Turns on the audit record: every decision becomes an effect of its own, before the effects that carry it out.
+    pub fn with_audit(mut self) -> Self {
+        self.audited = true;
+        self
+    }
+
+    /// A decision of a call: to the log, and to the audit record where it is on.
+    fn decided(&self, call: CallId, out: &mut Vec<Effect>, decision: impl FnOnce() -> Decision) {
+        if !self.audited && !log::log_enabled!(target: "decision", log::Level::Debug) {
+            return;
+        }
+        let decision = decision();
+        log::debug!(target: "decision", call:% = format_args!("{:016x}", call.0), what = decision.name(); "decided");
+        if self.audited {
+            out.push(Effect::Record(Record { at_ms: self.now.max(0.0) as u64, call: call.0, decision }));
+        }
+    }
+
     /// When the next timer is due.
     pub fn next_due(&self) -> Option<f64> {
         self.timers.next_ms()
--- a/src/engine/operators.rs
+++ b/src/engine/operators.rs
@@ -1,6 +1,6 @@
 //! Operators: what they ask, the figures that they read, and the drain that they order.
 
-use super::{Effect, Engine, Figures, OperatorAnswer, OperatorAsk, OperatorConn, Outcomes};
+use super::{Effect, Engine, Figures, OperatorAnswer, OperatorAsk, OperatorConn, Outcomes, Standing};
 
 /// After a drain begins, or the stop of a program that has a successor, a caller's connection on which nothing was
 /// asked yet is kept for so long from its opening, ms: what its caller wants may be on its way.
@@ -11,6 +11,10 @@
 /// On a connection that never falls idle set-ups are turned away from then on, ms: its caller would go on using it.
 const DRAIN_TAKES_MS: f64 = 1500.0;
 
+/// One that is shut out acts on a version that it should not: set-ups are turned away from then on, ms. The front has
+/// had its moment to notice.
+const SHUT_OUT_TAKES_MS: f64 = 700.0;
+
 impl Engine {
     pub(super) fn hear_operator(&mut self, conn: OperatorConn, ask: OperatorAsk, out: &mut Vec<Effect>) {
         let answer = match ask {
@@ -26,11 +30,21 @@
                 OperatorAnswer::Done
             }
             OperatorAsk::InService => {
+                self.shut_out = false;
                 if self.out_of_service.take().is_some() {
                     log::info!("in service again");
                 }
                 OperatorAnswer::Done
             }
+            OperatorAsk::Status | OperatorAsk::Reload => OperatorAnswer::Standing(self.standing()),
+            OperatorAsk::ShutOut => {
+                if !self.shut_out {
+                    log::warn!(target: "decision", "shut out: nothing new is taken");
+                    self.shut_out = true;
+                    self.out_of_service.get_or_insert(self.now);
+                }
+                OperatorAnswer::Standing(self.standing())
+            }
         };
         out.push(Effect::ToOperator { conn, answer });
     }
@@ -43,7 +57,22 @@
 
     /// Whether a drain still takes set-ups.
     pub(super) fn drain_takes(&self) -> bool {
-        self.out_of_service.is_none_or(|at| self.now - at < DRAIN_TAKES_MS)
+        let takes_ms = if self.shut_out { SHUT_OUT_TAKES_MS } else { DRAIN_TAKES_MS };
+        self.out_of_service.is_none_or(|at| self.now - at < takes_ms)
+    }
+
+    fn standing(&self) -> Standing {
+        Standing {
+            ready: self.ready(),
+            out_of_service: self.out_of_service.is_some(),
+            list: self.list(),
+            in_progress: self.calls.in_progress(),
+        }
+    }
+
+    /// The serial of the list that is followed.
+    pub fn list(&self) -> u32 {
+        self.fleet.serial.unwrap_or(0)
     }
 
     fn figures(&self) -> Figures {
--- a/src/engine/recovery.rs
+++ b/src/engine/recovery.rs
@@ -67,6 +67,7 @@
         for change in recovery.look(now, self.siblings) {
             let (servers, down) = (change.seen.servers, change.seen.down);
             log::warn!(
+                target: "decision",
                 site = change.site.as_str(), state = change.state.name(), servers, down;
                 "site {} is {}", change.site, change.state.name()
             );
--- a/src/lab/fleet.rs
+++ b/src/lab/fleet.rs
@@ -28,6 +28,10 @@
     pub limits: Option<&'a str>,
     /// The sites' text, if there is a plan.
     pub sites: Option<&'a str>,
+    /// It has an address for operators.
+    pub management: bool,
+    /// It keeps an audit record, in the folder `audit` of its own.
+    pub audit: bool,
 }
 
 /// The settings every lab instance serves under: the scenario's classes, replies as reports, a 500 ms dial.
@@ -56,6 +60,10 @@
     child: Child,
     /// Its callers' address.
     pub addr: SocketAddr,
+    /// Its operators' address, if it has one.
+    pub management: Option<SocketAddr>,
+    /// Its folder.
+    pub folder: PathBuf,
     /// Its name service.
     pub names: Names,
 }
@@ -97,12 +105,20 @@
     std::fs::write(folder.join("config.json"), config.to_string()).map_err(io)?;
     let mut command = Command::new(orders.program);
     command.arg("serve").env("GW_CONFIG", folder.join("config.json")).env("TMPDIR", folder);
-    for variable in ["GW_LISTEN", "GW_MANAGEMENT", "GW_NAME", "GW_FRONTS", "GW_LIMITS", "GW_SITES"] {
+    for variable in
+        ["GW_LISTEN", "GW_MANAGEMENT", "GW_NAME", "GW_FRONTS", "GW_LIMITS", "GW_SITES", "GW_AUDIT"]
+    {
         command.env_remove(variable);
     }
-    for (variable, file, text) in
-        [("GW_LIMITS", "limits.yaml", orders.limits), ("GW_SITES", "sites.yaml", orders.sites)]
-    {
+    if orders.management {
+        command.env("GW_MANAGEMENT", "127.0.0.1:0");
+    }
+    let audit = orders.audit.then(|| format!("folder: {}\n", folder.join("audit").display()));
+    for (variable, file, text) in [
+        ("GW_LIMITS", "limits.yaml", orders.limits),
+        ("GW_SITES", "sites.yaml", orders.sites),
+        ("GW_AUDIT", "audit.yaml", audit.as_deref()),
+    ] {
         if let Some(text) = text {
             std::fs::write(folder.join(file), text).map_err(io)?;
             command.env(variable, folder.join(file));
@@ -115,6 +131,7 @@
     let kept = std::fs::OpenOptions::new().create(true).append(true).open(folder.join("log"));
     let mut kept = kept.map_err(io)?;
     let mut line = String::new();
+    let mut management = None;
     let addr = loop {
         line.clear();
         if log.read_line(&mut line).map_err(io)? == 0 {
@@ -122,13 +139,16 @@
             return Err(format!("instance {index} ended before it listened (log in {})", folder.display()));
         }
         std::io::Write::write_all(&mut kept, line.as_bytes()).map_err(io)?;
+        if let Some(at) = line.trim().strip_prefix_after("operators on ") {
+            management = at.parse().ok();
+        }
         if let Some(at) = line.trim().strip_prefix_after("listening on ") {
             break at.parse::<SocketAddr>().map_err(|e| format!("instance {index}: {line}: {e}"))?;
         }
     };
     // The log is read on, or the process would stand still once the pipe is full.
     std::thread::spawn(move || std::io::copy(&mut log, &mut kept));
-    Ok(Instance { child, addr, names })
+    Ok(Instance { child, addr, management, folder: folder.to_owned(), names })
 }
 
 /// Where a folder for the instances of one run goes.
--- a/src/lab/mod.rs
+++ b/src/lab/mod.rs
@@ -226,6 +226,8 @@
         places: scenario.servers.len(),
         limits: limits.as_deref(),
         sites: sites.as_deref(),
+        management: false,
+        audit: false,
     };
     let doors: Vec<Arc<Door>> = (0..n).map(|_| Arc::new(Door::default())).collect();
     let mut rig = Rig { scenario, orders, run, out, servers, proxies, instances: Vec::new(), doors };
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -27,9 +27,11 @@
 //! assert!(actions.iter().any(|a| matches!(a, Action::Send { call: CallId(42), server: ServerId(1), .. })));
 //! ```
 
+pub mod audit;
 pub mod codec;
 pub mod config;
 pub mod engine;
+pub mod fleet_audit;
 pub mod fronts;
 pub mod interface;
 pub mod lab;
@@ -39,6 +41,7 @@
 pub mod policy;
 pub mod recovery;
 pub mod settings;
+pub mod version;
 pub mod worth;
 
 pub use interface::*;
--- a/src/logger.rs
+++ b/src/logger.rs
@@ -1,11 +1,21 @@
 //! The program's logger: one line an entry on standard error.
 
+use crate::version::Version;
 use log::kv::{Key, Value, VisitSource};
 use log::{LevelFilter, Log, Metadata, Record};
 use std::fmt::Write as _;
 use std::io::Write as _;
+use std::sync::{PoisonError, RwLock};
 use std::time::{SystemTime, UNIX_EPOCH};
 
+/// The id of the version that decisions are taken on.
+static VERSION: RwLock<String> = RwLock::new(String::new());
+
+/// From now on entries that tell of a decision (target `decision`) name this version.
+pub fn act_on(version: &Version) {
+    *VERSION.write().unwrap_or_else(PoisonError::into_inner) = version.id();
+}
+
 struct Lines {
     name: String,
 }
@@ -34,6 +44,10 @@
         let mut fields = Fields(String::new());
         // Writing to a text does not fail.
         let _ = record.key_values().visit(&mut fields);
+        if record.target() == "decision" {
+            let version = VERSION.read().unwrap_or_else(PoisonError::into_inner);
+            let _ = write!(fields.0, " version={version}");
+        }
         // A log that can't be written is no reason to stop serving.
         let (name, said) = (&self.name, record.args());
         let _ = writeln!(std::io::stderr().lock(), "{s}.{ms:03} {name} {level} {said}{}", fields.0);
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,10 +1,14 @@
 //! The command line of the border controller.
 
 use argh::{EarlyExit, FromArgs};
+use corkreach::audit::{self, AuditSettings};
+use corkreach::fleet_audit::peers::Peers;
+use corkreach::fleet_audit::{Desired, Remedy};
 use corkreach::fronts::Fronts;
 use corkreach::limits::LimitSettings;
 use corkreach::recovery::{self, SiteSettings};
-use corkreach::{config, logger, net};
+use corkreach::version;
+use corkreach::{config, fleet_audit, logger, net};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -19,8 +23,10 @@
 #[derive(FromArgs)]
 #[argh(subcommand)]
 enum Command {
+    Audit(Audit),
     Serve(Serve),
     Check(Check),
+    Fleet(Fleet),
     Lab(Lab),
     Plan(Plan),
     Version(Version),
@@ -48,11 +54,67 @@
     /// the operator's file of sites, YAML (else GW_SITES, else none: no plan for the loss of a site)
     #[argh(option)]
     sites: Option<PathBuf>,
+    /// the operator's file for the audit record, YAML (else GW_AUDIT, else none: nothing is recorded)
+    #[argh(option)]
+    audit: Option<PathBuf>,
     /// least weighty log lines written: error, warn, info, debug or trace (info)
     #[argh(option, default = "log::LevelFilter::Info")]
     log: log::LevelFilter,
 }
 
+/// Read an audit log: its decisions, one a line, and what they add up to.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "audit")]
+struct Audit {
+    /// the log's folder
+    #[argh(positional)]
+    folder: PathBuf,
+    /// print each entry as JSON
+    #[argh(switch)]
+    json: bool,
+    /// print the sums alone
+    #[argh(switch)]
+    sums: bool,
+}
+
+/// Look after a fleet of border controllers.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "fleet")]
+struct Fleet {
+    #[argh(subcommand)]
+    command: FleetCommand,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum FleetCommand {
+    Audit(FleetAudit),
+}
+
+/// Ask every instance what it acts on, name the stragglers and the unreachable, and bring up or shut out the former.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "audit")]
+struct FleetAudit {
+    /// the file of the fleet's instances, YAML (deploy/fleet.yaml)
+    #[argh(option)]
+    peers: PathBuf,
+    /// tell stragglers whose configuration alone is old to read it again
+    #[argh(switch)]
+    bring_up: bool,
+    /// take stragglers out of service, and wait until their calls are over
+    #[argh(switch)]
+    shut_out: bool,
+    /// id of the version to hold the fleet to (else the most common one)
+    #[argh(option)]
+    desired: Option<String>,
+    /// hold the fleet to this configuration, with the most common of all else
+    #[argh(option)]
+    desired_config: Option<PathBuf>,
+    /// print JSON in place of a table
+    #[argh(switch)]
+    json: bool,
+}
+
 /// Read a configuration and say whether it will do.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "check")]
@@ -138,19 +200,98 @@
     }
 }
 
+fn read_audit(command: &Audit) -> Result<(), String> {
+    let folder = command.folder.display();
+    let files = audit::read_folder(&command.folder).map_err(|e| format!("{folder}: {e}"))?;
+    let mut sums = std::collections::BTreeMap::new();
+    let (mut finals, mut damaged) = (0u64, 0u64);
+    for (path, read) in &files {
+        let mut version = String::new();
+        for entry in &read.entries {
+            if let audit::Entry::Version { version: now, .. } = entry {
+                version = now.id();
+            }
+            if let audit::Entry::Decision(r) = entry {
+                *sums.entry(r.decision.name()).or_insert(0u64) += 1;
+                finals += u64::from(r.decision.is_final());
+            }
+            if command.json {
+                println!("{}", serde_json::to_string(entry).map_err(|e| e.to_string())?);
+            } else if let (false, audit::Entry::Decision(r)) = (command.sums, entry) {
+                println!("{} {:016x} version={version} {:?}", r.at_ms, r.call, r.decision);
+            }
+        }
+        if read.torn > 0 {
+            eprintln!("{}: {} bytes torn at its end are left out", path.display(), read.torn);
+        }
+        if let Some(at) = read.damaged_at {
+            damaged += 1;
+            eprintln!("{}: damaged at byte {at}; what follows is not read", path.display());
+        }
+    }
+    if !command.json {
+        for (name, n) in &sums {
+            println!("{name:<12} {n}");
+        }
+        println!("{:<12} {finals}", "final");
+    }
+    if damaged > 0 { Err(format!("{damaged} of {} files are damaged", files.len())) } else { Ok(()) }
+}
+
+fn fleet_audit(command: &FleetAudit) -> Result<(), String> {
+    let peers = Peers::read(&command.peers)?;
+    let remedy = match (command.bring_up, command.shut_out) {
+        (true, true) => return Err("--bring-up or --shut-out, not both".into()),
+        (true, false) => Remedy::BringUp,
+        (false, true) => Remedy::ShutOut,
+        (false, false) => Remedy::Report,
+    };
+    let desired = match (&command.desired, &command.desired_config) {
+        (Some(_), Some(_)) => return Err("--desired or --desired-config, not both".into()),
+        (Some(id), None) => Desired::Id(id.clone()),
+        (None, Some(path)) => {
+            let told = |e: String| format!("{}: {e}", path.display());
+            let text = std::fs::read(path).map_err(|e| told(e.to_string()))?;
+            let (config, settings) = version::digests(&text).map_err(told)?;
+            Desired::Config { config, settings }
+        }
+        (None, None) => Desired::Common,
+    };
+    let report = fleet_audit::run::run(&peers, remedy, desired);
+    if command.json {
+        println!("{}", serde_json::to_string_pretty(&report).map_err(|e| e.to_string())?);
+    } else {
+        print!("{}", report.table());
+    }
+    let bad = report.rows.iter().filter(|r| !r.standing.good()).count();
+    if report.clean() {
+        Ok(())
+    } else {
+        Err(format!(
+            "{bad} of {} instances are not on the desired version, or not known to be",
+            report.rows.len()
+        ))
+    }
+}
+
 fn run(command: Command) -> Result<(), String> {
     match command {
         Command::Serve(serve) => {
             let source = source(serve.config, serve.listen, serve.management)?;
             let config = source.read()?;
             let fronts = serve.fronts.or_else(|| std::env::var_os("GW_FRONTS").map(PathBuf::from));
-            let fronts = fronts.map_or_else(|| Ok(Fronts::default()), |path| Fronts::read(&path))?;
+            let fronts_read = fronts.as_deref().map_or_else(|| Ok(Fronts::default()), Fronts::read)?;
             let limits = serve.limits.or_else(|| std::env::var_os("GW_LIMITS").map(PathBuf::from));
-            let limits = limits.map(|path| LimitSettings::read(&path)).transpose()?;
+            let limits_read = limits.as_deref().map(LimitSettings::read).transpose()?;
             let sites = serve.sites.or_else(|| std::env::var_os("GW_SITES").map(PathBuf::from));
-            let sites = sites.map(|path| SiteSettings::read(&path)).transpose()?;
+            let sites_read = sites.as_deref().map(SiteSettings::read).transpose()?;
+            let audit = serve.audit.or_else(|| std::env::var_os("GW_AUDIT").map(PathBuf::from));
+            let audit = audit.as_deref().map(AuditSettings::read).transpose()?;
+            let files = [&fronts, &limits, &sites].map(|path| path.as_deref());
+            let version = version::Version::new(config.digests.clone(), files[0], files[1], files[2])?;
             logger::start(&config.name, serve.log)?;
-            net::driver::run(config, source, fronts, net::driver::Decisions { limits, sites })
+            let decisions = net::driver::Decisions { limits: limits_read, sites: sites_read, audit, version };
+            net::driver::run(config, source, fronts_read, decisions)
         }
         Command::Check(check) => {
             let config = source(check.config, None, None)?.read()?;
@@ -191,8 +332,11 @@
             }
             Ok(())
         }
+        Command::Audit(audit) => read_audit(&audit),
+        Command::Fleet(Fleet { command: FleetCommand::Audit(audit) }) => fleet_audit(&audit),
         Command::Version(_) => {
-            println!("corkreach {}", env!("CARGO_PKG_VERSION"));
+            let commit = option_env!("CORKREACH_COMMIT").unwrap_or("unknown");
+            println!("corkreach {} (commit {commit})", env!("CARGO_PKG_VERSION"));
             Ok(())
         }
     }
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -3,14 +3,18 @@
 use super::listeners::{self, Heirs};
 use super::servers::Order;
 use super::{WRITE_QUEUE, callers, names, operators, servers};
+use crate::audit::{AuditSettings, Writer};
 use crate::codec::h248::{callers::CallerCodec, servers::ServerCodec};
 use crate::config::{Config, Source};
 use crate::engine::{
-    CallerConn, Effect, Engine, Event, OperatorAnswer, OperatorAsk, OperatorConn, ServerConn, ToCaller,
+    CallerConn, Effect, Engine, Event, OperatorAnswer, OperatorAsk, OperatorConn, ServerConn, Standing,
+    ToCaller,
 };
 use crate::fronts::Fronts;
 use crate::limits::{LimitSettings, Limits};
+use crate::logger;
 use crate::recovery::{Recovery, SiteSettings};
+use crate::version::{Status, Version};
 use std::cell::Cell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -61,6 +65,10 @@
     pub limits: Option<LimitSettings>,
     /// The plan for the loss of a site.
     pub sites: Option<SiteSettings>,
+    /// The audit record.
+    pub audit: Option<AuditSettings>,
+    /// What the process acts on.
+    pub version: Version,
 }
 
 /// Runs the border controller until it is stopped.
@@ -92,7 +100,7 @@
         }
         None => None,
     };
-    let mut driver = Driver::new(&config, sender.clone(), names, fronts, decisions);
+    let mut driver = Driver::new(&config, sender.clone(), names, fronts, decisions)?;
     tokio::task::spawn_local(beat(driver.clock.clone()));
     tokio::task::spawn_local(names::poll(at, config.seed, sender));
     let listening = listener.local_addr().map_err(|e| format!("listening: {e}"))?;
@@ -125,11 +133,13 @@
                 Ok((stream, _)) => driver.accept(stream, Speech::Text),
                 Err(e) => driver.pause_accepting(&e),
             },
-            _ = hangups.recv() => match source.read() {
-                Ok(new) => driver.follow(&config, new),
-                Err(e) => log::error!("the configuration stays as it was: {e}"),
-            },
-            Some((ask, answer)) = questions.recv() => driver.ask(ask, answer),
+            _ = hangups.recv() => driver.reload(&config, &source),
+            Some((ask, answer)) = questions.recv() => {
+                if ask == OperatorAsk::Reload {
+                    driver.reload(&config, &source);
+                }
+                driver.ask(ask, answer);
+            }
             _ = stops.recv() => driver.stop(&mut listener, &mut text_listener, &heirs),
             _ = interrupts.recv() => driver.stop(&mut listener, &mut text_listener, &heirs),
             () = sleep(Duration::from_secs_f64(wait / 1000.0)) => driver.step(Event::Tick),
@@ -151,6 +161,13 @@
 /// Owns the reducer and the near end of every connection's queue.
 struct Driver {
     engine: Engine,
+    /// The process's name, what it acts on, and the serial of its list.
+    name: String,
+    version: Version,
+    list: u32,
+    /// Why the last reload changed nothing.
+    reload_failed: Option<String>,
+    audit: Option<Writer>,
     clock: Clock,
     events: mpsc::Sender<Event>,
     /// Where the name service is.
@@ -186,7 +203,7 @@
         names: watch::Sender<SocketAddr>,
         fronts: Fronts,
         decisions: Decisions,
-    ) -> Self {
+    ) -> Result<Self, String> {
         let clock = Clock::default();
         let mut engine = Engine::new(config.settings.clone(), config.host.clone(), config.seed, clock.now());
         if let Some(settings) = decisions.limits {
@@ -197,8 +214,23 @@
             log::info!("plan for the loss of a site on: {settings:?}");
             engine = engine.with_recovery(Recovery::new(settings, config.seed));
         }
-        Driver {
+        let (name, version) = (config.name.clone(), decisions.version);
+        logger::act_on(&version);
+        let mut audit = None;
+        if let Some(settings) = decisions.audit {
+            log::info!("audit record on: {settings:?}");
+            engine = engine.with_audit();
+            let folder = settings.folder.display().to_string();
+            let writer = Writer::start(settings, clock.now() as u64, &name, &version, config.serial);
+            audit = Some(writer.map_err(|e| format!("audit folder {folder}: {e}"))?);
+        }
+        Ok(Driver {
             engine,
+            name,
+            version,
+            list: config.serial,
+            reload_failed: None,
+            audit,
             clock,
             events,
             names,
@@ -214,6 +246,60 @@
             effects: Vec::new(),
             exiting: false,
             fronts,
+        })
+    }
+
+    /// Reads the configuration again, whole or not at all.
+    fn reload(&mut self, started: &Config, source: &Source) {
+        match source.read() {
+            Ok(new) => {
+                let classes = |c: &Config| c.host.classes.iter().map(|c| c.name.clone()).collect::<Vec<_>>();
+                if classes(&new) != classes(started) {
+                    let why = "other classes need a restart".to_owned();
+                    log::error!("the configuration stays as it was: {why}");
+                    self.reload_failed = Some(why);
+                    return;
+                }
+                (self.version.config, self.version.settings) = new.digests.clone();
+                self.reload_failed = None;
+                logger::act_on(&self.version);
+                self.tell_version();
+                self.follow(started, new);
+            }
+            Err(e) => {
+                log::error!("the configuration stays as it was: {e}");
+                self.reload_failed = Some(e);
+            }
+        }
+    }
+
+    /// The audit log hears what the decisions from here on are taken on.
+    fn tell_version(&mut self) {
+        let now = self.clock.now() as u64;
+        if let Some(audit) = &mut self.audit {
+            audit.version(now, &self.name, &self.version, self.list);
+        }
+    }
+
+    /// Writes the records among the effects, all at once, before any of the others is carried out.
+    fn keep_records(&mut self, effects: &mut Vec<Effect>) {
+        if self.audit.is_none() {
+            return;
+        }
+        if self.engine.list() != self.list {
+            self.list = self.engine.list();
+            self.tell_version();
+        }
+        let Some(audit) = &mut self.audit else { return };
+        for effect in effects.iter() {
+            if let Effect::Record(record) = effect {
+                audit.record(record.clone());
+            }
+        }
+        effects.retain(|effect| !matches!(effect, Effect::Record(_)));
+        // Calls go on being served: what could not be written is counted.
+        if let Err(e) = audit.flush() {
+            log::error!("the audit log can't be written, {} writes lost: {e}", audit.lost());
         }
     }
 
@@ -248,6 +334,7 @@
         }
         let mut effects = std::mem::take(&mut self.effects);
         self.engine.step(self.clock.now(), event, &mut effects);
+        self.keep_records(&mut effects);
         for effect in effects.drain(..) {
             self.perform(effect);
         }
@@ -295,7 +382,15 @@
             Effect::CloseServer(conn) => {
                 self.servers.remove(&conn);
             }
+            // Written already, where there is an audit log.
+            Effect::Record(_) => {}
             Effect::ToOperator { conn, answer } => {
+                let answer = match answer {
+                    OperatorAnswer::Standing(standing) => {
+                        OperatorAnswer::Status(Box::new(self.status(standing)))
+                    }
+                    other => other,
+                };
                 // Nobody waits for it if the operator has hung up.
                 let _ = self.operators.remove(&conn).map(|reply| reply.send(answer));
             }
@@ -303,6 +398,18 @@
         }
     }
 
+    fn status(&self, standing: Standing) -> Status {
+        Status {
+            name: self.name.clone(),
+            version: self.version.clone(),
+            list: standing.list,
+            ready: standing.ready,
+            out_of_service: standing.out_of_service,
+            in_progress: standing.in_progress,
+            reload_failed: self.reload_failed.clone(),
+        }
+    }
+
     /// The engine closes connections beyond the most that it keeps; those on their way out count here too. The
     /// engine's timers turn the loop often enough for this to be looked at again.
     fn may_accept(&self) -> bool {
--- a/src/net/operators.rs
+++ b/src/net/operators.rs
@@ -73,6 +73,9 @@
         "/control/ready" => ("GET", OperatorAsk::Ready),
         "/control/counters" => ("GET", OperatorAsk::Figures),
         "/control/out-of-service" => ("POST", OperatorAsk::OutOfService),
+        "/control/version" => ("GET", OperatorAsk::Status),
+        "/control/reload" => ("POST", OperatorAsk::Reload),
+        "/control/shut-out" => ("POST", OperatorAsk::ShutOut),
         "/control/in-service" => ("POST", OperatorAsk::InService),
         _ => return Err(404),
     };
@@ -87,6 +90,7 @@
             200 => "OK",
             400 => "Bad Request",
             404 => "Not Found",
+            409 => "Conflict",
             405 => "Method Not Allowed",
             413 => "Content Too Large",
             431 => "Request Header Fields Too Large",
@@ -161,6 +165,13 @@
         Ok(OperatorAnswer::Ready(false)) => (503, "not ready\n".into()),
         Ok(OperatorAnswer::Figures(figures)) => (200, text(&figures)),
         Ok(OperatorAnswer::Done) => (200, "done\n".into()),
+        Ok(OperatorAnswer::Status(status)) => {
+            // A reload that changed nothing is no success; the status says why.
+            let failed = ask == OperatorAsk::Reload && status.reload_failed.is_some();
+            let text = serde_json::to_string(&status).unwrap_or_default();
+            (if failed { 409 } else { 200 }, text + "\n")
+        }
+        Ok(OperatorAnswer::Standing(_)) => (503, String::new()),
         Err(_) => (503, String::new()),
     }
 }
--- a/tests/lab/main.rs
+++ b/tests/lab/main.rs
@@ -11,6 +11,7 @@
 #[path = "../process/speech.rs"]
 mod speech;
 
+mod audit;
 mod fleet;
 mod scenarios;
 mod sites;
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -710,7 +710,7 @@
     corkreach: /nowhere/config.json: No such file or directory (os error 2)
     corkreach: Unrecognized argument: --listen
     corkreach: Unrecognized argument: sing
-    corkreach: One of the following subcommands must be present: help serve check lab plan version
+    corkreach: One of the following subcommands must be present: help audit serve check fleet lab plan version
     ");
     assert_eq!(complaint(&["check", "--config", manifest]).lines().count(), 1);
 }
