End live calls of a lost site in the lab, and ramp on where every site is pressed

Need: the lab's dead servers reset connections where a host whose process is gone refuses them, so calls that stood there were never seen to end; a returning site's ramp was turned back by reports of pressure even while the sites that were up reported the same, and with servers at 96% load it never ended (last state returning at second 38 of site-loss.yaml). Change: the fault proxy refuses connections (its port held meanwhile), stand-ins let calls stand for a while, and callers wait for their ends; pressure turns a ramp back only while no site that is up reports it too.

--- a/src/lab/mod.rs
+++ b/src/lab/mod.rs
@@ -22,7 +22,7 @@
 use proxy::{Fault, Proxy};
 use room::{Queue, Room};
 pub use scenario::{Run, Scenario};
-use standin::StandIn;
+use standin::{Mode, StandIn};
 use std::path::Path;
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -166,6 +166,14 @@
             for s in self.scenario.touched(&event) {
                 if let Some(mode) = event.mode {
                     self.servers[s].set_mode(mode);
+                    // A host whose process is gone refuses connections.
+                    for proxy in self.proxies.iter().map(|row| &row[s]) {
+                        if mode == Mode::Down {
+                            proxy.set(Fault::Refuse);
+                        } else if proxy.refuses() {
+                            proxy.set(Fault::Pass);
+                        }
+                    }
                 }
                 for &i in &links {
                     match (event.fault, event.delay_ms) {
@@ -198,7 +206,7 @@
         (None, Some(per_s)) => Room::bucket(per_s),
         (None, None) => Room::Unbounded,
     };
-    StandIn::start_with(server.mode, room)
+    StandIn::holding(server.mode, room, Duration::from_millis(server.hold_ms))
 }
 
 fn play_once(scenario: &Scenario, run: Run, program: &Path, out: &Path) -> Result<Figures, String> {
@@ -244,6 +252,7 @@
         classes: scenario.classes.clone(),
         wait_ms: scenario.wait_ms,
         repeats: scenario.repeats,
+        await_ends: scenario.servers.iter().any(|s| s.hold_ms > 0),
         places: (0..scenario.servers.len() as u32).collect(),
         seed: scenario.seed,
     };
--- a/src/lab/scenario.rs
+++ b/src/lab/scenario.rs
@@ -116,6 +116,9 @@
     /// With `line_per_s`: how it starts and falls over.
     #[serde(default)]
     pub cold: Option<Cold>,
+    /// Calls that it answers stand for so long, ms.
+    #[serde(default)]
+    pub hold_ms: u64,
     /// How it answers from the start.
     #[serde(default = "answer")]
     pub mode: Mode,
--- a/src/lab/standin.rs
+++ b/src/lab/standin.rs
@@ -64,6 +64,7 @@
     counts: Arc<Counts>,
     mode: AtomicU8,
     room: Mutex<Room>,
+    hold: Duration,
     /// It fell over, and is down until then.
     down_until: Mutex<Option<Instant>>,
     stop: AtomicBool,
@@ -123,6 +124,14 @@
     /// # Errors
     /// The loopback port could not be had.
     pub fn start_with(mode: Mode, room: Room) -> std::io::Result<StandIn> {
+        Self::holding(mode, room, Duration::ZERO)
+    }
+
+    /// The same, and the calls that it answers stand for so long.
+    ///
+    /// # Errors
+    /// The loopback port could not be had.
+    pub fn holding(mode: Mode, room: Room, hold: Duration) -> std::io::Result<StandIn> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         listener.set_nonblocking(true)?;
         let addr = listener.local_addr()?;
@@ -131,6 +140,7 @@
             counts: counts.clone(),
             mode: AtomicU8::new(mode as u8),
             room: Mutex::new(room),
+            hold,
             down_until: Mutex::new(None),
             stop: AtomicBool::new(false),
         });
@@ -220,37 +230,39 @@
         match message["t"].as_str() {
             Some("new") => {
                 heard += 1;
-                let Some((after, answer)) = answer(&message["ref"], shared, heard, now) else { continue };
-                due.push_back((now + after, answer));
+                for (after, answer) in answer(&message["ref"], shared, heard, now) {
+                    let place = due.partition_point(|(at, _)| *at <= now + after);
+                    due.insert(place, (now + after, answer));
+                }
             }
             Some("down") => {
-                due.push_back((now, line(&json!({"t": "ack", "ref": message["ref"], "f": {}}))));
+                due.push_front((now, line(&json!({"t": "ack", "ref": message["ref"], "f": {}}))));
             }
             _ => {}
         }
     }
 }
 
-/// The answer to the `heard`th set-up on a connection, and after what time it is given; none: never.
-fn answer(call: &Value, shared: &Shared, heard: u64, now: Instant) -> Option<(Duration, String)> {
+/// What is said to the `heard`th set-up on a connection, each with the time after which it is; nothing: never.
+fn answer(call: &Value, shared: &Shared, heard: u64, now: Instant) -> Vec<(Duration, String)> {
     shared.counts.set_ups.fetch_add(1, Ordering::Relaxed);
     let mode = shared.mode.load(Ordering::Relaxed);
     let down =
         |cause: u32, load: &str| line(&json!({"t": "down", "ref": call, "f": {"load": load}, "c": cause}));
     let well = "x0:80;x1:100;latency_ms:5;can_take:400";
     if mode == Mode::Mute as u8 || mode == Mode::Down as u8 {
-        return None;
+        return Vec::new();
     } else if mode == Mode::Reset as u8 {
-        return Some((Duration::ZERO, down(41, well)));
+        return vec![(Duration::ZERO, down(41, well))];
     } else if mode == Mode::Flaky as u8 && heard.is_multiple_of(2) {
-        return Some((Duration::ZERO, down(38, well)));
+        return vec![(Duration::ZERO, down(38, well))];
     }
     let full = |wait_ms: f64, can_take: f64| {
         let load = format!("x0:0;x1:100;latency_ms:{wait_ms:.0};can_take:{can_take:.0}");
         line(&json!({"t": "down", "ref": call, "f": {"note": "ovl", "load": load}, "c": 34}))
     };
     if mode == Mode::Full as u8 {
-        return Some((Duration::ZERO, full(3000.0, 1.0)));
+        return vec![(Duration::ZERO, full(3000.0, 1.0))];
     }
     let mut room = shared.room();
     let met = room.meet(now);
@@ -259,18 +271,21 @@
     match met {
         Met::Fell => {
             shared.fall();
-            None
+            Vec::new()
         }
         Met::Full(wait_ms) => {
             shared.counts.wait_ms.fetch_max(wait_ms as u64, Ordering::Relaxed);
-            Some((Duration::ZERO, full(wait_ms, can_take)))
+            vec![(Duration::ZERO, full(wait_ms, can_take))]
         }
         Met::Answered(after, wait_ms) => {
             shared.counts.wait_ms.fetch_max(wait_ms as u64, Ordering::Relaxed);
             shared.counts.answered.fetch_add(1, Ordering::Relaxed);
             let load = format!("x0:80;x1:100;latency_ms:{wait_ms:.0};can_take:{can_take:.0}");
             let up = line(&json!({"t": "up", "ref": call, "f": {}, "d": "v=0"}));
-            Some((after, up + &down(16, &load)))
+            if shared.hold.is_zero() {
+                return vec![(after, up + &down(16, &load))];
+            }
+            vec![(after, up), (after + shared.hold, down(16, &load))]
         }
     }
 }
--- a/src/recovery/mod.rs
+++ b/src/recovery/mod.rs
@@ -248,9 +248,12 @@
     pub fn look(&mut self, now: f64, fleet: u32) -> Vec<Change> {
         self.fleet = f64::from(fleet.max(1));
         let mut changes = Vec::new();
+        let others_pressed = self.sites.iter().any(|s| s.state() == State::Up && s.is_pressed(now));
         for i in 0..self.sites.len() {
             let seen = self.seen(i);
-            if let Some(state) = self.sites[i].look(now, seen, &self.settings.loss, &self.settings.back) {
+            if let Some(state) =
+                self.sites[i].look(now, seen, others_pressed, &self.settings.loss, &self.settings.back)
+            {
                 changes.push(Change { site: self.settings.sites[i].name.clone(), state, seen });
             }
         }
--- a/src/recovery/site.rs
+++ b/src/recovery/site.rs
@@ -101,11 +101,20 @@
         (back.after_ms * longer).min(back.after_max_ms.max(back.after_ms))
     }
 
-    /// Moves on to `now`, ms, by what is seen of its call servers; the new state if it changed.
+    /// Whether it reported pressure of late.
+    #[must_use]
+    pub fn is_pressed(&self, now: f64) -> bool {
+        now - self.pressed_at < PRESSED_MS
+    }
+
+    /// Moves on to `now`, ms, by what is seen of its call servers; the new state if it changed. `others_pressed`: a site
+    /// that is up reports pressure as well. Then its own tells of a shortage everywhere, which holding it back would only
+    /// make worse, and the ramp goes on.
     pub fn look(
         &mut self,
         now: f64,
         seen: Seen,
+        others_pressed: bool,
         loss: &LossSettings,
         back: &ReturnSettings,
     ) -> Option<State> {
@@ -116,7 +125,7 @@
         let lost = self.known && (seen.servers == 0 || of(seen.down) >= loss.quorum);
         let back_again = seen.servers > 0 && of(seen.up) >= back.quorum && !lost;
         if self.state == State::Returning {
-            let pressed = now - self.pressed_at < PRESSED_MS;
+            let pressed = self.is_pressed(now) && !others_pressed;
             let step = if back.ramp_ms > 0.0 { since / back.ramp_ms } else { 1.0 };
             self.progress = (self.progress + if pressed { -step } else { step }).clamp(0.0, 1.0);
         }
@@ -160,7 +169,7 @@
     fn looks(site: &mut Site, from: u32, to: u32, seen: Seen) -> Vec<(u32, State)> {
         let (loss, back) = settings();
         let times = (from..to).step_by(100);
-        times.filter_map(|at| site.look(f64::from(at), seen, &loss, &back).map(|s| (at, s))).collect()
+        times.filter_map(|at| site.look(f64::from(at), seen, false, &loss, &back).map(|s| (at, s))).collect()
     }
 
     #[test]
@@ -218,6 +227,11 @@
         assert!(site.share(&back) < before);
         looks(&mut site, 9000, 12_000, UP);
         assert!(site.share(&back) > before);
+        // Where all are pressed the shortage is not its own.
+        let (before, loss) = (site.share(&back), LossSettings::default());
+        site.pressed(12_000.0);
+        site.look(12_500.0, UP, true, &loss, &back);
+        assert!(site.share(&back) > before);
     }
 
     #[test]
