--- a/src/config.rs
+++ b/src/config.rs
@@ -24,10 +24,25 @@
     pub settings: Settings,
     pub host: HostSettings,
     pub columns: Vec<Column>,
+    /// The other border controllers, where messages to them are allowed and their addresses known.
+    pub peering: Option<Peering>,
     /// Digests of the configuration and of its settings (`crate::version`).
     pub digests: (String, String),
 }
 
+/// How the border controllers of a tier reach each other.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Peering {
+    /// Where datagrams come in.
+    pub listen: SocketAddr,
+    /// The border controllers' addresses by their places; what one sends comes from its address.
+    pub peers: Vec<Option<SocketAddr>>,
+    /// The address at which one datagram reaches all of them.
+    pub all: Option<SocketAddr>,
+    /// This border controller's own place.
+    pub own: usize,
+}
+
 #[derive(Deserialize)]
 struct File {
     #[serde(default)]
@@ -41,6 +56,12 @@
     limits: Limits,
     dns: SocketAddr,
     known: Known,
+    #[serde(default)]
+    peer_listen: Option<SocketAddr>,
+    #[serde(default)]
+    peers: Vec<Option<SocketAddr>>,
+    #[serde(default)]
+    peers_all: Option<SocketAddr>,
     settings: Value,
 }
 
@@ -110,7 +131,13 @@
 fn parse(text: &[u8], source: &Source) -> Result<Config, String> {
     let file: File = serde_json::from_slice(text).map_err(|e| e.to_string())?;
     let inner = file.settings.to_string();
-    let (settings, columns) = settings::parse(inner.as_bytes())?;
+    let (mut settings, columns) = settings::parse(inner.as_bytes())?;
+    let host = settings::parse_host(inner.as_bytes())?;
+    let own = usize::from(host.index);
+    let peering = file.peer_listen.filter(|_| settings.may_tell && !file.peers.is_empty());
+    let peering = peering.map(|listen| Peering { listen, peers: file.peers, all: file.peers_all, own });
+    // Allowed, but with nobody to tell, the module is to tell nothing.
+    settings.may_tell = peering.is_some();
     Ok(Config {
         name: source.name.clone().unwrap_or(file.name),
         management: source.management.or(file.management),
@@ -120,11 +147,9 @@
         serial: file.known.seq,
         known: list(file.known)?,
         settings,
-        host: HostSettings {
-            callers_max: callers_max(file.limits.sockets),
-            ..settings::parse_host(inner.as_bytes())?
-        },
+        host: HostSettings { callers_max: callers_max(file.limits.sockets), ..host },
         columns,
+        peering,
         digests: crate::version::digests(text)?,
     })
 }
--- a/src/engine/fleet.rs
+++ b/src/engine/fleet.rs
@@ -207,6 +207,7 @@
         self.close_all(id, out);
         self.end_waiting(id, Outcome::NotSent);
         self.fleet.servers.remove(&id);
+        self.forget_words(id);
         self.fleet.ids.retain(|_, known| *known != id);
         if let Some(limits) = self.limits.as_mut() {
             limits.forget(id);
@@ -352,6 +353,7 @@
         self.site_heard(server);
         if let FromServer::Ended { report, .. } | FromServer::State(report) = &message {
             self.site_report(server, report);
+            self.note_own_report(server, report);
         }
         // A connection that opens and is cut before a word does not count as reaching the call server.
         if let Some(limits) = self.limits.as_mut() {
--- a/src/engine/messages.rs
+++ b/src/engine/messages.rs
@@ -80,6 +80,8 @@
     pub limits: Option<crate::limits::Shed>,
     /// The sites, where there is a plan for their loss.
     pub recovery: Option<crate::recovery::RecoveryFigures>,
+    /// Messages between border controllers, where they are on.
+    pub peers: Option<PeerFigures>,
 }
 
 /// A set-up as its caller sent it.
@@ -205,6 +207,44 @@
     }
 }
 
+/// What one border controller tells the others of a call server.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct PeerReport {
+    /// Unix millisecond of the sender's start: a later one is another process.
+    pub born_ms: u64,
+    /// How long after its start it was sent, ms.
+    pub age_ms: u32,
+    /// Counted from 1 by each sender.
+    pub seq: u32,
+    /// The call server's name in the list.
+    pub server: String,
+    /// Its processor's figures; free lines are each border controller's own.
+    pub report: LoadReport,
+}
+
+/// Datagrams between border controllers, since the start: those sent, and those heard by what became of them.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PeerFigures {
+    /// Sent, and not sent: too many, too long, or not taken by the system.
+    pub sent: u64,
+    pub unsent: u64,
+    /// Heard from a peer, and those whose word the module heard.
+    pub heard: u64,
+    pub taken: u64,
+    /// Dropped: of no peer's address; beyond a peer's pace; of unknown kind; damaged; no room in the queue.
+    pub stranger: u64,
+    pub paced: u64,
+    pub unknown: u64,
+    pub damaged: u64,
+    pub crowded: u64,
+    /// Dropped: sent too long ago; doubled, overtaken or of an earlier process; of a call server not listed here.
+    pub late: u64,
+    pub old: u64,
+    pub unlisted: u64,
+    /// Kept, but no other voice bears it out yet.
+    pub alone: u64,
+}
+
 /// One call server in the name service's list.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Listing {
@@ -268,6 +308,11 @@
     },
     /// A timer may be due.
     Tick,
+    /// A border controller, by its place among them, tells what it heard of a call server.
+    Peer {
+        from: u16,
+        told: PeerReport,
+    },
     /// The configuration was read again.
     Settings {
         settings: Settings,
@@ -303,6 +348,8 @@
         confirm: bool,
     },
     CloseServer(ServerConn),
+    /// To every other border controller; it may be lost.
+    ToPeers(PeerReport),
     /// To be written to the audit log before any effect beside it is carried out.
     Record(crate::audit::Record),
     ToOperator {
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -11,6 +11,7 @@
 mod liveness;
 mod messages;
 mod operators;
+mod peers;
 mod recovery;
 mod timers;
 
@@ -25,6 +26,7 @@
 use callers::Callers;
 use calls::Calls;
 use fleet::Fleet;
+use peers::Peers;
 use std::collections::VecDeque;
 use timers::Timers;
 
@@ -74,6 +76,8 @@
     limits: Option<Limits>,
     /// The plan for the loss of a site, where the operator's file has one, and when its next turn is due.
     recovery: Option<Recovery>,
+    /// What the other border controllers tell, where messages are allowed.
+    peers: Option<Peers>,
     sites_turn: Option<f64>,
     callers: Callers,
     calls: Calls,
@@ -112,6 +116,7 @@
             worths: worths(&settings),
             limits: None,
             recovery: None,
+            peers: None,
             sites_turn: None,
             controller: Controller::new(settings, seed, now),
             host,
@@ -178,6 +183,7 @@
             Event::List { serial, servers } => self.follow_list(serial, servers, out),
             Event::Settings { settings, host } => self.follow_settings(settings, host),
             Event::Tick => {}
+            Event::Peer { from, told } => self.hear_peer(from, told),
             Event::Operator { conn, ask } => self.hear_operator(conn, ask, out),
             Event::Stop { successor } => self.stop(successor, out),
         }
@@ -217,8 +223,9 @@
             Action::Fail(call) => self.answer(call, ToCaller::Failed(call), out),
             Action::Timer { at, token } => self.timers.set(at, Due::Module(token)),
             Action::Log(text) => log::info!("{text}"),
-            // Border controllers may not probe here and share nothing; the settings tell the module so.
-            Action::Probe(_) | Action::TellAll { .. } => {
+            Action::TellAll { server, report } => self.tell_peers(server, report, out),
+            // Border controllers may not probe here; the settings tell the module so.
+            Action::Probe(_) => {
                 log::error!("the module asked for what is not allowed")
             }
         }
--- a/src/engine/operators.rs
+++ b/src/engine/operators.rs
@@ -87,6 +87,7 @@
             skipped: self.fleet.ids_listed().filter(|&id| self.skips(id)).count(),
             limits: self.limits.as_ref().map(crate::limits::Limits::shed),
             recovery: self.recovery.as_ref().map(crate::recovery::Recovery::figures),
+            peers: self.peer_figures(),
         }
     }
 
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -2,13 +2,14 @@
 
 use super::listeners::{self, Heirs};
 use super::servers::Order;
-use super::{WRITE_QUEUE, callers, names, operators, servers};
+use super::{WRITE_QUEUE, callers, names, operators, peers, servers};
 use crate::audit::{AuditSettings, Writer};
 use crate::codec::h248::{callers::CallerCodec, servers::ServerCodec};
+use crate::codec::peers::{self as datagrams, DATAGRAM_MAX};
 use crate::config::{Config, Source};
 use crate::engine::{
-    CallerConn, Effect, Engine, Event, OperatorAnswer, OperatorAsk, OperatorConn, ServerConn, Standing,
-    ToCaller,
+    CallerConn, Effect, Engine, Event, OperatorAnswer, OperatorAsk, OperatorConn, PeerReport, ServerConn,
+    Standing, ToCaller,
 };
 use crate::fronts::Fronts;
 use crate::limits::{LimitSettings, Limits};
@@ -23,7 +24,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, oneshot, watch};
-use tokio::task::{JoinSet, LocalSet};
+use tokio::task::{AbortHandle, JoinSet, LocalSet};
 use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
 
 /// Events that may wait for the reducer; a connection that has more to say waits.
@@ -101,6 +102,14 @@
         None => None,
     };
     let mut driver = Driver::new(&config, sender.clone(), names, fronts, decisions)?;
+    if let Some(peering) = &config.peering {
+        let at = peering.listen;
+        let peers = peers::Peers::bind(peering, None).map_err(|e| format!("peers at {at}: {e}"))?;
+        log::info!("peers on {}", peers.addr().map_err(|e| format!("peers at {at}: {e}"))?);
+        let sending = peers.sender();
+        let hearing = tokio::task::spawn_local(peers.listen(sender.clone())).abort_handle();
+        driver.peers = Some((sending, hearing));
+    }
     tokio::task::spawn_local(beat(driver.clock.clone()));
     tokio::task::spawn_local(names::poll(at, config.seed, sender));
     let listening = listener.local_addr().map_err(|e| format!("listening: {e}"))?;
@@ -187,6 +196,8 @@
     effects: Vec<Effect>,
     exiting: bool,
     fronts: Fronts,
+    /// The socket to the other border controllers, and the task that hears them, where messages are allowed.
+    peers: Option<(peers::Sender, AbortHandle)>,
 }
 
 /// What a caller's connection speaks.
@@ -214,6 +225,9 @@
             log::info!("plan for the loss of a site on: {settings:?}");
             engine = engine.with_recovery(Recovery::new(settings, config.seed));
         }
+        if config.peering.is_some() {
+            engine = engine.with_peers();
+        }
         let (name, version) = (config.name.clone(), decisions.version);
         logger::act_on(&version);
         let mut audit = None;
@@ -246,6 +260,7 @@
             effects: Vec::new(),
             exiting: false,
             fronts,
+            peers: None,
         })
     }
 
@@ -310,6 +325,9 @@
         if new.listen != started.listen {
             log::warn!("listening on {} needs a restart", new.listen);
         }
+        if new.peering != started.peering {
+            log::warn!("other peers need a restart");
+        }
         self.callers_max = new.host.callers_max;
         // Also if it is the same address: the socket is a new one then, and asks at once.
         self.names.send_replace(new.names);
@@ -382,6 +400,7 @@
             Effect::CloseServer(conn) => {
                 self.servers.remove(&conn);
             }
+            Effect::ToPeers(told) => self.tell_peers(&told),
             // Written already, where there is an audit log.
             Effect::Record(_) => {}
             Effect::ToOperator { conn, answer } => {
@@ -389,6 +408,12 @@
                     OperatorAnswer::Standing(standing) => {
                         OperatorAnswer::Status(Box::new(self.status(standing)))
                     }
+                    OperatorAnswer::Figures(mut figures) => {
+                        if let (Some(peers), Some((sending, _))) = (&mut figures.peers, &self.peers) {
+                            sending.add_to(peers);
+                        }
+                        OperatorAnswer::Figures(figures)
+                    }
                     other => other,
                 };
                 // Nobody waits for it if the operator has hung up.
@@ -398,6 +423,16 @@
         }
     }
 
+    fn tell_peers(&self, told: &PeerReport) {
+        let Some((sending, _)) = &self.peers else { return };
+        match datagrams::write(told, &mut [0; DATAGRAM_MAX]) {
+            Ok(datagram) => {
+                sending.to_all(datagram);
+            }
+            Err(e) => log::debug!("nothing told of {}: {e:?}", told.server),
+        }
+    }
+
     fn status(&self, standing: Standing) -> Status {
         Status {
             name: self.name.clone(),
@@ -437,6 +472,10 @@
                 self.accept(stream, Speech::Text);
             }
         }
+        // What peers send is for the successor alone from now on: both would get a part of it.
+        if successor && let Some((_, hearing)) = self.peers.take() {
+            hearing.abort();
+        }
         self.step(Event::Stop { successor });
     }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,10 +1,11 @@
-//! Sockets: the codecs and connections of callers, call servers, operators and the name service, and what drives them.
+//! Sockets: the codecs and connections of callers, call servers, operators, peers and the name service, and what drives them.
 
 pub mod callers;
 pub mod driver;
 pub mod listeners;
 pub mod names;
 pub mod operators;
+pub mod peers;
 pub mod servers;
 
 use std::time::{Duration, Instant};
--- a/src/net/operators.rs
+++ b/src/net/operators.rs
@@ -1,6 +1,6 @@
 //! Operators: HTTP/1.1 at an address of its own, one call a connection.
 
-use crate::engine::{Figures, OperatorAnswer, OperatorAsk};
+use crate::engine::{Figures, OperatorAnswer, OperatorAsk, PeerFigures};
 use crate::recovery::{RecoveryFigures, State};
 use bytes::{BufMut, BytesMut};
 use futures_util::{SinkExt, StreamExt};
@@ -206,12 +206,37 @@
             shed.firsts_shed
         );
     }
+    if let Some(told) = &figures.peers {
+        peers(told, &mut text);
+    }
     if let Some(recovery) = &figures.recovery {
         sites(recovery, &mut text);
     }
     text
 }
 
+/// Messages between border controllers, where they are on.
+fn peers(p: &PeerFigures, text: &mut String) {
+    let _ = writeln!(text, "# TYPE gw_peer_datagrams_sent counter\ngw_peer_datagrams_sent {}", p.sent);
+    let _ = writeln!(text, "# TYPE gw_peer_datagrams_unsent counter\ngw_peer_datagrams_unsent {}", p.unsent);
+    let _ = writeln!(text, "# TYPE gw_peer_datagrams_heard counter\ngw_peer_datagrams_heard {}", p.heard);
+    let _ = writeln!(text, "# TYPE gw_peer_words_taken counter\ngw_peer_words_taken {}", p.taken);
+    let _ = writeln!(text, "# TYPE gw_peer_datagrams_dropped counter");
+    for (why, n) in [
+        ("stranger", p.stranger),
+        ("paced", p.paced),
+        ("unknown", p.unknown),
+        ("damaged", p.damaged),
+        ("crowded", p.crowded),
+        ("late", p.late),
+        ("old", p.old),
+        ("unlisted", p.unlisted),
+        ("alone", p.alone),
+    ] {
+        let _ = writeln!(text, "gw_peer_datagrams_dropped{{why={why:?}}} {n}");
+    }
+}
+
 /// The sites' part of the figures, where there is a plan for their loss.
 fn sites(recovery: &RecoveryFigures, text: &mut String) {
     let _ = writeln!(text, "# TYPE gw_site_state gauge");
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -52,6 +52,8 @@
 #[derive(Deserialize)]
 struct Info {
     siblings: u32,
+    #[serde(default)]
+    index: u16,
     services: Vec<Service>,
     #[serde(default)]
     tenants: Vec<Tenant>,
@@ -138,6 +140,8 @@
 /// What the program around the module needs of the settings.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct HostSettings {
+    /// This border controller's place among those of its tier.
+    pub index: u16,
     /// In the order of [`Settings::classes`].
     pub classes: Vec<ClassRules>,
     /// A connection not established within this time has failed.
@@ -177,6 +181,7 @@
         places: specifics.pools_by_class.get(i).cloned().unwrap_or_default(),
     };
     Ok(HostSettings {
+        index: info.index,
         classes: info.services.into_iter().enumerate().map(class).collect(),
         dial_timeout_ms: info.ceilings.dial_timeout_ms,
         open_cap: info.ceilings.open_cap,
