Put a fault proxy between instances' datagrams, probe on open connections, read told waits

A probe is a test on an open connection, paced per call server, and ends in time or with its connection. A full processor's wait is read; figures may stand as numbers or texts. What the codecs and the sockets share stands below both (codec/common, clock).

--- a/src/codec/h248/callers.rs
+++ b/src/codec/h248/callers.rs
@@ -13,9 +13,9 @@
 use super::frame::Framer;
 use super::tree::{Item, Token};
 use super::{Open, context, header, next, quote, syntax, unquote};
+use crate::codec::common::{MESSAGE_MAX, bounded, extras as read_extras};
 use crate::engine::{Fault, FromCaller, Release, SetUp, ToCaller};
 use crate::interface::CallId;
-use crate::net::MESSAGE_MAX;
 use bytes::{BufMut, BytesMut};
 use std::io;
 use tokio_util::codec::{Decoder, Encoder};
@@ -159,9 +159,9 @@
     set_up.number = property("cork/number").filter(|n| !n.is_empty()).map(str::to_owned);
     if let Some(extras) = property("cork/extras") {
         let extras = unquote(extras).ok_or(Fault::Invalid)?;
-        (set_up.first_choice, set_up.width) = crate::net::callers::extras(&extras).ok_or(Fault::Invalid)?;
+        (set_up.first_choice, set_up.width) = read_extras(&extras).ok_or(Fault::Invalid)?;
     }
-    crate::net::callers::bounded(&set_up)?;
+    bounded(&set_up)?;
     Ok(set_up)
 }
 
--- a/src/codec/h248/servers.rs
+++ b/src/codec/h248/servers.rs
@@ -8,6 +8,7 @@
 //! | | | `T=s{C=call{S=class{SA{cork/cause=16,cork/load=".."}}}}` | `Ended` by its Q.850 cause |
 //! | `Heard` | `P=s{C=call{S=class}}` | | |
 //! | `Release` | `T=t{C=call{S=class}}` | `P=t{C=call{S=..}}` | `Sign` |
+//! | `Test` | `T=t{C=-{AV=ROOT}}` | `P=t{C=-{AV=ROOT{SA{cork/load=".."}}}}`, or an `ER` | `Tested`, passed or not |
 //! | | | `T=s{C=-{N=ROOT{OE=0{cork/gauge{cork/load=".."}}}}}` | `State` |
 //!
 //! Load reports travel in `cork/load` as the JSON-lines servers write them (`x0:12;x1:40;queue:3`).
@@ -15,10 +16,9 @@
 use super::frame::Framer;
 use super::tree::{Item, Token};
 use super::{Open, context, header, next, quote, syntax, unquote};
+use crate::codec::common::{MESSAGE_MAX, ending, load};
 use crate::engine::{Ending, FromServer, ToServer};
 use crate::interface::{CallId, LoadReport};
-use crate::net::MESSAGE_MAX;
-use crate::net::servers::{ending, load};
 use bytes::{BufMut, BytesMut};
 use std::io;
 use tokio_util::codec::{Decoder, Encoder};
@@ -36,6 +36,8 @@
     own: u32,
     /// Our set-ups by transaction, for replies that name no context.
     set_ups: Open<u32, CallId>,
+    /// Our tests by transaction.
+    tests: Open<u32, CallId>,
     /// The server's releases that wait for our reply, by call.
     releases: Open<CallId, (u32, String)>,
     /// Classes of calls on their way or standing, for our releases.
@@ -51,6 +53,7 @@
             mid: mid.to_owned(),
             own: 0,
             set_ups: Open::default(),
+            tests: Open::default(),
             releases: Open::default(),
             classes: Open::default(),
             replies: String::new(),
@@ -64,7 +67,7 @@
 
     /// H.248.1 §8.2.2: every request gets its reply, or the server sends it again.
     fn owe(&mut self, transaction: u32, command: &Item) {
-        if self.replies.len() < crate::net::MESSAGE_MAX {
+        if self.replies.len() < MESSAGE_MAX {
             header(&self.mid, &mut self.replies);
             let (name, term) = (command.name, command.value.unwrap_or("-"));
             self.replies.push_str(&format!("Reply = {transaction} {{Context = - {{{name} = {term}}}}}\n"));
@@ -79,6 +82,12 @@
         Ok(match item.token() {
             Token::Pending | Token::ResponseAck => Some(FromServer::Sign),
             Token::Reply => {
+                if let Some(test) = transaction.and_then(|t| self.tests.take(&t)) {
+                    let passed = command.filter(|c| c.token() == Token::AuditValue);
+                    let load_of = |c: &Item| c.property("cork/load").and_then(unquote).map(|l| load(&l));
+                    let report = passed.and_then(load_of).unwrap_or_default();
+                    return Ok(Some(FromServer::Tested { test, passed: passed.is_some(), report }));
+                }
                 let ours = transaction.and_then(|t| self.set_ups.take(&t));
                 let Some(call) = call.or(ours) else { return Ok(Some(FromServer::Sign)) };
                 match command.or_else(|| item.child(Token::Error)) {
@@ -89,8 +98,8 @@
                     Some(c) if c.token() == Token::Error => {
                         self.classes.take(&call);
                         let how = match c.value.and_then(|v| v.parse().ok()) {
-                            Some(INSUFFICIENT_RESOURCES) => Ending::Full { lines: false },
-                            Some(NO_TERMINATION) => Ending::Full { lines: true },
+                            Some(INSUFFICIENT_RESOURCES) => Ending::Full { lines: false, waited_ms: None },
+                            Some(NO_TERMINATION) => Ending::Full { lines: true, waited_ms: None },
                             Some(UNAVAILABLE) => Ending::NotSent,
                             _ => Ending::Error,
                         };
@@ -108,9 +117,14 @@
                     (Token::Subtract, Some(call)) => {
                         let cause = command.property("cork/cause").and_then(|c| c.parse().ok()).unwrap_or(41);
                         let lines = command.property("cork/note") == Some("nc");
+                        let waited_ms = command.property("cork/waited").and_then(|ms| ms.parse().ok());
                         let class = self.classes.take(&call).unwrap_or_else(|| "-".to_owned());
                         self.releases.insert(call, (transaction, class))?;
-                        Some(FromServer::Ended { call, how: ending(cause, lines), report: report() })
+                        Some(FromServer::Ended {
+                            call,
+                            how: ending(cause, lines, waited_ms),
+                            report: report(),
+                        })
                     }
                     (Token::Notify, _) => {
                         self.owe(transaction, command);
@@ -170,6 +184,11 @@
                     self.own, call.0
                 ));
             }
+            ToServer::Test(test) => {
+                self.own = self.own.wrapping_add(1);
+                self.tests.insert(self.own, *test)?;
+                out.push_str(&format!("Transaction = {} {{Context = - {{AuditValue = ROOT}}}}\n", self.own));
+            }
             ToServer::Heard(call) => {
                 let Some((transaction, class)) = self.releases.take(call) else {
                     log::debug!("no release of call {} to answer", call.0);
--- a/src/engine/answers.rs
+++ b/src/engine/answers.rs
@@ -82,8 +82,10 @@
         }
         if attempt.stage == Stage::Out(on) {
             let outcome = match how {
-                Ending::Full { lines: true } => Outcome::NoLine,
-                Ending::Full { lines: false } => Outcome::ProcessorFull { wait_ms: None },
+                Ending::Full { lines: true, .. } => Outcome::NoLine,
+                Ending::Full { lines: false, waited_ms } => {
+                    Outcome::ProcessorFull { wait_ms: waited_ms.map(f64::from) }
+                }
                 Ending::NotSent => Outcome::NotSent,
                 Ending::Reset => Outcome::Reset,
                 Ending::Error | Ending::Normal => Outcome::Fault,
--- a/src/engine/fleet.rs
+++ b/src/engine/fleet.rs
@@ -208,6 +208,7 @@
         self.end_waiting(id, Outcome::NotSent);
         self.fleet.servers.remove(&id);
         self.forget_words(id);
+        self.forget_probes(id);
         self.fleet.ids.retain(|_, known| *known != id);
         if let Some(limits) = self.limits.as_mut() {
             limits.forget(id);
@@ -318,6 +319,7 @@
             lived_ms = self.now - s.conns.remove(i).opened_at;
         }
         self.end_on(conn);
+        self.probes_lost(conn);
         Some((server, lived_ms))
     }
 
@@ -351,7 +353,10 @@
             }
         }
         self.site_heard(server);
-        if let FromServer::Ended { report, .. } | FromServer::State(report) = &message {
+        if let FromServer::Ended { report, .. }
+        | FromServer::State(report)
+        | FromServer::Tested { report, .. } = &message
+        {
             self.site_report(server, report);
             self.note_own_report(server, report);
         }
@@ -375,6 +380,7 @@
                 self.news.push_back(module::Event::Lines { server, report });
                 self.close_mute(server, conn, out);
             }
+            FromServer::Tested { test, passed, report } => self.probe_answered(conn, test, passed, report),
             FromServer::Sign => {}
         }
     }
@@ -392,7 +398,7 @@
             FromServer::Answer { call, description } => {
                 self.answered_by(server, conn, call, description, out)
             }
-            FromServer::State(_) | FromServer::Sign => {}
+            FromServer::State(_) | FromServer::Tested { .. } | FromServer::Sign => {}
         }
     }
 
--- a/src/engine/messages.rs
+++ b/src/engine/messages.rs
@@ -82,6 +82,8 @@
     pub recovery: Option<crate::recovery::RecoveryFigures>,
     /// Messages between border controllers, where they are on.
     pub peers: Option<PeerFigures>,
+    /// Probes of call servers, where they are allowed.
+    pub probes: Option<ProbeFigures>,
 }
 
 /// A set-up as its caller sent it.
@@ -167,6 +169,8 @@
     /// Full; `lines`: it was a line that lacked.
     Full {
         lines: bool,
+        /// The wait at its processor, where it told one.
+        waited_ms: Option<u32>,
     },
     Error,
     /// It never left.
@@ -188,21 +192,36 @@
         report: LoadReport,
     },
     State(LoadReport),
+    /// A test was answered; `passed` with a report, else the call server had no room for it.
+    Tested {
+        test: CallId,
+        passed: bool,
+        report: LoadReport,
+    },
     /// It means nothing but that the call server is there.
     Sign,
 }
 
 #[derive(Clone, Debug, PartialEq)]
 pub enum ToServer {
-    SetUp { call: CallId, class: String, left_ms: u64, number: Option<String>, description: String },
+    SetUp {
+        call: CallId,
+        class: String,
+        left_ms: u64,
+        number: Option<String>,
+        description: String,
+    },
     Release(CallId),
     Heard(CallId),
+    /// A test under this id, which is no call's.
+    Test(CallId),
 }
 
 impl ToServer {
     pub fn call(&self) -> CallId {
         match self {
-            ToServer::SetUp { call, .. } | ToServer::Release(call) | ToServer::Heard(call) => *call,
+            ToServer::SetUp { call, .. } => *call,
+            ToServer::Release(id) | ToServer::Heard(id) | ToServer::Test(id) => *id,
         }
     }
 }
@@ -245,6 +264,16 @@
     pub alone: u64,
 }
 
+/// Probes since the start: those sent, and how they ended.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ProbeFigures {
+    pub sent: u64,
+    pub answered: u64,
+    pub turned_away: u64,
+    /// Not answered in time, or with no connection to send it on.
+    pub failed: u64,
+}
+
 /// One call server in the name service's list.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Listing {
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -12,6 +12,7 @@
 mod messages;
 mod operators;
 mod peers;
+mod probes;
 mod recovery;
 mod timers;
 
@@ -27,6 +28,7 @@
 use calls::Calls;
 use fleet::Fleet;
 use peers::Peers;
+use probes::Probes;
 use std::collections::VecDeque;
 use timers::Timers;
 
@@ -49,6 +51,9 @@
     /// No connection came up for this attempt in time.
     DialOver(CallId, u32),
     Redial(ServerId),
+    /// A probe's turn, and the end of a probe's time.
+    Probe(ServerId),
+    ProbeOver(u64),
     /// The caller's connection should have asked something by now.
     CallerSilent(CallerConn),
     Look,
@@ -78,6 +83,9 @@
     recovery: Option<Recovery>,
     /// What the other border controllers tell, where messages are allowed.
     peers: Option<Peers>,
+    /// Probes out, where they are allowed.
+    may_probe: bool,
+    probes: Probes,
     sites_turn: Option<f64>,
     callers: Callers,
     calls: Calls,
@@ -117,6 +125,8 @@
             limits: None,
             recovery: None,
             peers: None,
+            may_probe: settings.may_probe,
+            probes: Probes::default(),
             sites_turn: None,
             controller: Controller::new(settings, seed, now),
             host,
@@ -224,10 +234,7 @@
             Action::Timer { at, token } => self.timers.set(at, Due::Module(token)),
             Action::Log(text) => log::info!("{text}"),
             Action::TellAll { server, report } => self.tell_peers(server, report, out),
-            // Border controllers may not probe here; the settings tell the module so.
-            Action::Probe(_) => {
-                log::error!("the module asked for what is not allowed")
-            }
+            Action::Probe(server) => self.test_server(server, out),
         }
     }
 
@@ -242,6 +249,8 @@
             }
             Due::DialOver(call, attempt) => self.dial_over(call, attempt),
             Due::Redial(server) => self.redial(server, out),
+            Due::Probe(server) => self.send_probe(server, out),
+            Due::ProbeOver(id) => self.probe_over(id),
             Due::CallerSilent(conn) => self.caller_silent(conn, out),
             Due::Look => {
                 self.look(out);
@@ -263,6 +272,7 @@
             return log::error!("other classes need a restart: the settings stay as they were");
         }
         (self.guard_ms, self.max_attempts, self.host) = (settings.guard_ms, settings.max_attempts, host);
+        self.may_probe = settings.may_probe;
         (self.siblings, self.stay_away_max_ms) = (settings.siblings, settings.stay_away_max_ms);
         self.worths = worths(&settings);
         self.news.push_back(module::Event::Settings(settings));
--- a/src/engine/operators.rs
+++ b/src/engine/operators.rs
@@ -88,6 +88,7 @@
             limits: self.limits.as_ref().map(crate::limits::Limits::shed),
             recovery: self.recovery.as_ref().map(crate::recovery::Recovery::figures),
             peers: self.peer_figures(),
+            probes: self.probe_figures(),
         }
     }
 
--- a/src/engine/peers.rs
+++ b/src/engine/peers.rs
@@ -145,8 +145,11 @@
     }
 }
 
+/// A figure's place in a report.
+type Figure = fn(&mut LoadReport) -> &mut Option<f64>;
+
 /// The figures that voices are weighed by, each with the slack it is allowed, in its own unit.
-const FIGURES: [(fn(&mut LoadReport) -> &mut Option<f64>, f64); 5] = [
+const FIGURES: [(Figure, f64); 5] = [
     (|r| &mut r.queue, 5.0),
     (|r| &mut r.utilisation, 0.2),
     (|r| &mut r.wait_ms, 100.0),
--- a/src/lab/fleet.rs
+++ b/src/lab/fleet.rs
@@ -2,6 +2,7 @@
 //! fleet's size told to each as its siblings.
 
 use crate::lab::caller::Class;
+use crate::lab::datagrams::Datagrams;
 use crate::lab::names::{Listed, Names};
 use serde_json::{Value, json};
 use std::io::{BufRead, BufReader};
@@ -32,6 +33,10 @@
     pub management: bool,
     /// It keeps an audit record, in the folder `audit` of its own.
     pub audit: bool,
+    /// The links between the instances, if messages are allowed; an instance's own address is told to them.
+    pub links: Option<&'a Datagrams>,
+    /// Probes are allowed.
+    pub probing: bool,
 }
 
 /// The settings every lab instance serves under: the scenario's classes, replies as reports, a 500 ms dial.
@@ -50,7 +55,8 @@
     json!({"siblings": orders.siblings, "index": index, "zones": ["aarhus"], "services": services,
         "report": {"columns": ["free", "size", "latency_ms", "can_take"], "how": "answers"},
         "ceilings": {"attempts_cap": 6, "cancel": true, "dial_timeout_ms": 500.0, "retry_after": true,
-            "max_retry_after_ms": STAY_AWAY_MAX_MS, "open_cap": 20000},
+            "max_retry_after_ms": STAY_AWAY_MAX_MS, "open_cap": 20000, "may_tell": orders.links.is_some(),
+            "probing": orders.probing},
         "rules": {"cold_from": 0.37, "cold_ms": 14000.0, "fall_ms": 2000.0, "fall_multiple": 3.0},
         "specifics": {"guard_ms": 200.0, "t1_ms": 0.0, "class_width": widths, "pools_by_class": pools}})
 }
@@ -62,6 +68,8 @@
     pub addr: SocketAddr,
     /// Its operators' address, if it has one.
     pub management: Option<SocketAddr>,
+    /// Where its peers' datagrams come in, if messages are allowed.
+    pub peers: Option<SocketAddr>,
     /// Its folder.
     pub folder: PathBuf,
     /// Its name service.
@@ -98,10 +106,15 @@
         .collect();
     let names = Names::start(list).map_err(io)?;
     let seed = orders.seed ^ (index as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
-    let config = json!({"name": format!("n{index}"), "listen": "127.0.0.1:0", "seed": format!("{seed:016x}"),
+    let mut config = json!({"name": format!("n{index}"), "listen": "127.0.0.1:0", "seed": format!("{seed:016x}"),
         "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "dns": names.addr,
         "settings": settings(orders, index),
         "known": {"seq": 1, "results": [{"seq": 1, "fleet": {"version": 1, "full": true, "servers": known}}]}});
+    if let Some(links) = orders.links {
+        config["peer_listen"] = json!("127.0.0.1:0");
+        config["peers"] = json!(links.peers_of(index));
+        config["peers_all"] = json!(links.all_of(index));
+    }
     std::fs::write(folder.join("config.json"), config.to_string()).map_err(io)?;
     let mut command = Command::new(orders.program);
     command.arg("serve").env("GW_CONFIG", folder.join("config.json")).env("TMPDIR", folder);
@@ -131,7 +144,7 @@
     let kept = std::fs::OpenOptions::new().create(true).append(true).open(folder.join("log"));
     let mut kept = kept.map_err(io)?;
     let mut line = String::new();
-    let mut management = None;
+    let (mut management, mut peers) = (None, None);
     let addr = loop {
         line.clear();
         if log.read_line(&mut line).map_err(io)? == 0 {
@@ -142,13 +155,19 @@
         if let Some(at) = line.trim().strip_prefix_after("operators on ") {
             management = at.parse().ok();
         }
+        if let Some(at) = line.trim().strip_prefix_after("peers on ") {
+            peers = at.parse().ok();
+        }
         if let Some(at) = line.trim().strip_prefix_after("listening on ") {
             break at.parse::<SocketAddr>().map_err(|e| format!("instance {index}: {line}: {e}"))?;
         }
     };
     // The log is read on, or the process would stand still once the pipe is full.
     std::thread::spawn(move || std::io::copy(&mut log, &mut kept));
-    Ok(Instance { child, addr, management, folder: folder.to_owned(), names })
+    if let Some((links, at)) = orders.links.zip(peers) {
+        links.listens(index, at);
+    }
+    Ok(Instance { child, addr, management, peers, folder: folder.to_owned(), names })
 }
 
 /// Where a folder for the instances of one run goes.
--- a/src/lab/mod.rs
+++ b/src/lab/mod.rs
@@ -8,6 +8,7 @@
 //! The figures go to [`results`] as tables (CSV, JSON) and a chart (SVG).
 
 pub mod caller;
+pub mod datagrams;
 pub mod fleet;
 pub mod names;
 pub mod proxy;
@@ -236,6 +237,8 @@
         sites: sites.as_deref(),
         management: false,
         audit: false,
+        links: None,
+        probing: false,
     };
     let doors: Vec<Arc<Door>> = (0..n).map(|_| Arc::new(Door::default())).collect();
     let mut rig = Rig { scenario, orders, run, out, servers, proxies, instances: Vec::new(), doors };
--- a/src/lab/room.rs
+++ b/src/lab/room.rs
@@ -130,6 +130,21 @@
         }
     }
 
+    /// The wait that it tells one that only asks, ms; none: it has no room to answer.
+    pub fn told_wait_ms(&self, now: Instant) -> Option<f64> {
+        match self {
+            Room::Unbounded => Some(5.0),
+            Room::Bucket { per_s, tokens, at } => {
+                let gained = now.saturating_duration_since(*at).as_secs_f64() * *per_s;
+                (*tokens + gained >= 1.0).then_some(5.0)
+            }
+            Room::Queue(queue) => {
+                let wait = queue.busy_until.saturating_duration_since(now);
+                (wait <= queue.longest).then_some(wait.as_secs_f64() * 1000.0)
+            }
+        }
+    }
+
     /// Set-ups a second that it reports it can take.
     pub fn can_take(&self, now: Instant) -> f64 {
         match self {
--- a/src/lab/standin.rs
+++ b/src/lab/standin.rs
@@ -1,5 +1,5 @@
 //! A stand-in call server that answers by itself, as the platform's JSON-lines protocol describes (PROTOCOL:
-//! `gauge`, `new`, `up`, `down`, `ack`), and counts what reaches it: connections, set-ups, and the longest wait that
+//! `gauge`, `new`, `up`, `down`, `ack`, `hb`, `hb_ok`), and counts what reaches it: connections, set-ups, tests, and the longest wait that
 //! it reported.
 
 use super::room::{Met, Room};
@@ -43,6 +43,8 @@
     pub conns: AtomicU64,
     /// Set-ups (`new`) read.
     pub set_ups: AtomicU64,
+    /// Tests (`hb`) read.
+    pub tests: AtomicU64,
     /// Set-ups answered.
     pub answered: AtomicU64,
     /// The longest wait told in a report since it was last asked for, ms.
@@ -67,6 +69,8 @@
     hold: Duration,
     /// It fell over, and is down until then.
     down_until: Mutex<Option<Instant>>,
+    /// Tests are read and never answered.
+    mute_tests: AtomicBool,
     stop: AtomicBool,
 }
 
@@ -142,6 +146,7 @@
             room: Mutex::new(room),
             hold,
             down_until: Mutex::new(None),
+            mute_tests: AtomicBool::new(false),
             stop: AtomicBool::new(false),
         });
         let served = shared.clone();
@@ -170,6 +175,11 @@
         }
     }
 
+    /// From now on tests are read and never answered.
+    pub fn mute_tests(&self) {
+        self.shared.mute_tests.store(true, Ordering::Relaxed);
+    }
+
     /// Set-ups read so far.
     pub fn set_ups(&self) -> u64 {
         self.counts.set_ups.load(Ordering::Relaxed)
@@ -235,6 +245,11 @@
                     due.insert(place, (now + after, answer));
                 }
             }
+            Some("hb") => {
+                if let Some(answer) = tested(&message["ref"], shared, now) {
+                    due.push_front((now, answer));
+                }
+            }
             Some("down") => {
                 due.push_front((now, line(&json!({"t": "ack", "ref": message["ref"], "f": {}}))));
             }
@@ -243,6 +258,24 @@
     }
 }
 
+/// The answer to a test, if one is given: passed with a report, or turned away for want of room.
+fn tested(test: &Value, shared: &Shared, now: Instant) -> Option<String> {
+    shared.counts.tests.fetch_add(1, Ordering::Relaxed);
+    let mode = shared.mode.load(Ordering::Relaxed);
+    if mode == Mode::Mute as u8 || shared.mute_tests.load(Ordering::Relaxed) {
+        return None;
+    }
+    let room = shared.room();
+    let told = room.told_wait_ms(now).filter(|_| mode != Mode::Full as u8);
+    Some(line(&match told {
+        Some(wait_ms) => {
+            let load = format!("x0:80;x1:100;latency_ms:{wait_ms:.0};can_take:{:.0}", room.can_take(now));
+            json!({"t": "hb_ok", "ref": test, "f": {"load": load}, "c": 1})
+        }
+        None => json!({"t": "hb_ok", "ref": test, "f": {}, "c": 0}),
+    }))
+}
+
 /// What is said to the `heard`th set-up on a connection, each with the time after which it is; nothing: never.
 fn answer(call: &Value, shared: &Shared, heard: u64, now: Instant) -> Vec<(Duration, String)> {
     shared.counts.set_ups.fetch_add(1, Ordering::Relaxed);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -28,6 +28,7 @@
 //! ```
 
 pub mod audit;
+pub mod clock;
 pub mod codec;
 pub mod config;
 pub mod engine;
--- a/src/net/callers.rs
+++ b/src/net/callers.rs
@@ -1,10 +1,11 @@
 //! Callers: the binary codec and their connections.
 
-use super::{HalfMessages, MESSAGE_MAX, WRITE_STALL};
+use super::{HalfMessages, WRITE_STALL};
+use crate::clock::Clock;
+use crate::codec::common::{MESSAGE_MAX, bounded, extras};
 use crate::codec::h248::callers::CallerCodec;
 use crate::engine::{CallerConn, Event, Fault, FromCaller, Release, SetUp, ToCaller};
 use crate::interface::CallId;
-use crate::net::driver::Clock;
 use bytes::{Buf, BufMut, BytesMut};
 use futures_util::{SinkExt, StreamExt};
 use std::io;
@@ -42,11 +43,6 @@
 
 /// Type and call id, which the length counts.
 const HEAD: usize = 9;
-/// A description is refused if its JSON is longer: the line to a call server holds the other fields as well.
-const DESCRIPTION_JSON_MAX: usize = MESSAGE_MAX - 1024;
-/// So are other fields that go on.
-const FIELD_MAX: usize = 128;
-
 /// Half a message is waited for so long: some callers write one over two seconds.
 const HALF_MAX: Duration = Duration::from_millis(2300);
 
@@ -124,19 +120,6 @@
     Ok(set_up)
 }
 
-/// Whether a set-up's texts fit what a call server takes, from any front: a description within its JSON bound,
-/// class and number of at most 128 bytes, the number hexadecimal.
-pub(crate) fn bounded(set_up: &SetUp) -> Result<(), Fault> {
-    let number = set_up.number.as_deref().unwrap_or("0");
-    if json_len(&set_up.description) > DESCRIPTION_JSON_MAX
-        || number.len().max(set_up.class.len()) > FIELD_MAX
-        || u64::from_str_radix(number, 16).is_err()
-    {
-        return Err(Fault::Invalid);
-    }
-    Ok(())
-}
-
 /// Code and value of the first parameter, and what follows it.
 fn parameter(bytes: &[u8]) -> Option<(u8, &[u8], &[u8])> {
     let (head, rest) = bytes.split_at_checked(3)?;
@@ -144,30 +127,6 @@
     Some((head[0], value, rest))
 }
 
-/// The call server of first choice, if any, and the lines wanted, out of `dest:2;width:1;via:-1`; none if a
-/// field is no figure, or one of these two no count.
-pub(crate) fn extras(text: &str) -> Option<(Option<u32>, u32)> {
-    let (mut dest, mut width) = (None, 1);
-    for field in text.split(';').map(str::trim).filter(|f| !f.is_empty()) {
-        let (name, figure) = field.split_once(':')?;
-        let figure: f64 = figure.parse().ok()?;
-        let count =
-            (figure.fract() == 0.0 && (0.0..=f64::from(u16::MAX)).contains(&figure)).then_some(figure as u32);
-        match name {
-            "dest" => dest = Some(count?),
-            "width" => width = count?,
-            _ if figure.is_finite() => {}
-            _ => return None,
-        }
-    }
-    Some((dest, width))
-}
-
-/// Bytes that a text takes in JSON.
-fn json_len(text: &str) -> usize {
-    serde_json::to_string(text).map_or(usize::MAX, |json| json.len())
-}
-
 impl Encoder<ToCaller> for Codec {
     type Error = io::Error;
 
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -4,6 +4,7 @@
 use super::servers::Order;
 use super::{WRITE_QUEUE, callers, names, operators, peers, servers};
 use crate::audit::{AuditSettings, Writer};
+use crate::clock::{Clock, PULSE};
 use crate::codec::h248::{callers::CallerCodec, servers::ServerCodec};
 use crate::codec::peers::{self as datagrams, DATAGRAM_MAX};
 use crate::config::{Config, Source};
@@ -16,11 +17,9 @@
 use crate::logger;
 use crate::recovery::{Recovery, SiteSettings};
 use crate::version::{Status, Version};
-use std::cell::Cell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::rc::Rc;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, oneshot, watch};
@@ -37,27 +36,6 @@
 const LAST_WRITES: Duration = Duration::from_secs(2);
 /// No descriptor is free: the next connection is taken up after this.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-/// How often it is noted that the loop turns; a message read after a stall may have lain for all of it.
-const PULSE: Duration = Duration::from_millis(10);
-
-/// Unix milliseconds, and how long the loop last stood still.
-#[derive(Clone, Default)]
-pub struct Clock {
-    pulse: Rc<Cell<Option<f64>>>,
-}
-
-impl Clock {
-    pub fn now(&self) -> f64 {
-        SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64() * 1000.0
-    }
-
-    /// When what is read now may have come in: a stalled loop reads late, and callers count from their send.
-    pub fn read_at(&self) -> f64 {
-        let now = self.now();
-        let turning = self.pulse.get().map_or(now, |at| at + 2.0 * PULSE.as_secs_f64() * 1000.0);
-        now.min(turning)
-    }
-}
 
 /// The decision modules beside percent blocking that the operator's files turn on; none of them by default.
 #[derive(Debug, Default)]
@@ -163,7 +141,7 @@
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
-        clock.pulse.set(Some(clock.now()));
+        clock.beat();
     }
 }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -10,8 +10,6 @@
 
 use std::time::{Duration, Instant};
 
-/// A message holds at most so many bytes, on every connection.
-pub const MESSAGE_MAX: usize = 16 * 1024;
 /// A peer that takes nothing for so long is given up.
 const WRITE_STALL: Duration = Duration::from_secs(10);
 /// Looks for half a message that goes no further. Once it has lain so long with nothing whole between, it ends its
--- a/src/net/operators.rs
+++ b/src/net/operators.rs
@@ -209,6 +209,13 @@
     if let Some(told) = &figures.peers {
         peers(told, &mut text);
     }
+    if let Some(p) = figures.probes {
+        let _ = writeln!(text, "# TYPE gw_probes_sent counter\ngw_probes_sent {}", p.sent);
+        let _ = writeln!(text, "# TYPE gw_probes_ended counter");
+        for (outcome, n) in [("answered", p.answered), ("turned_away", p.turned_away), ("failed", p.failed)] {
+            let _ = writeln!(text, "gw_probes_ended{{outcome={outcome:?}}} {n}");
+        }
+    }
     if let Some(recovery) = &figures.recovery {
         sites(recovery, &mut text);
     }
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -1,9 +1,9 @@
 //! Call servers: the JSON-lines codec and the connections to them.
 
-use super::{HalfMessages, MESSAGE_MAX, WRITE_STALL};
-use crate::engine::{Ending, Event, FromServer, Lost, ServerConn, ToServer};
-use crate::interface::{CallId, LoadReport};
-use crate::settings;
+use super::{HalfMessages, WRITE_STALL};
+use crate::codec::common::{MESSAGE_MAX, NORMAL, RESET, ending, load};
+use crate::engine::{Event, FromServer, Lost, ServerConn, ToServer};
+use crate::interface::CallId;
 use bytes::{BufMut, BytesMut};
 use futures_util::{SinkExt, StreamExt};
 use serde::{Deserialize, Serialize};
@@ -17,12 +17,6 @@
 use tokio::time::timeout;
 use tokio_util::codec::{Decoder, Encoder, Framed, LinesCodec, LinesCodecError};
 
-/// Causes of Q.850, as the protocol uses them.
-const NORMAL: u64 = 16;
-const FULL: u64 = 34;
-const RESET: u64 = 41;
-const NOT_SENT: u64 = 102;
-
 /// Half a line is waited for so long: the calls on that connection wait for answers that will not come.
 const HALF_MAX: Duration = Duration::from_millis(240);
 /// A call server closes its side of a closed connection within this, or is not waited for.
@@ -62,7 +56,12 @@
 fn read(line: &str) -> io::Result<Option<FromServer>> {
     let object: Map<String, Value> = serde_json::from_str(line)?;
     let text = |name: &str| object.get(name).and_then(Value::as_str);
-    let field = |name: &str| object.get("f").and_then(|f| f.get(name)).and_then(Value::as_str);
+    let any = |name: &str| object.get("f").and_then(|f| f.get(name));
+    let field = |name: &str| any(name).and_then(Value::as_str);
+    // A figure may stand as a number or as text.
+    let figure = |name: &str| {
+        any(name).and_then(|v| v.as_f64().or_else(|| v.as_str().and_then(|text| text.trim().parse().ok())))
+    };
     let call = text("ref").and_then(|id| u64::from_str_radix(id, 16).ok()).map(CallId);
     let report = || field("load").map(load).unwrap_or_default();
     Ok(match (text("t"), call) {
@@ -71,37 +70,19 @@
         }
         (Some("down"), Some(call)) => {
             let cause = object.get("c").and_then(Value::as_u64).unwrap_or(RESET);
-            let how = ending(cause, field("note") == Some("nc"));
+            let how = ending(cause, field("note") == Some("nc"), figure("waited"));
             Some(FromServer::Ended { call, how, report: report() })
         }
         (Some("gauge"), _) => Some(FromServer::State(report())),
-        (Some("wait" | "ack" | "hb_ok"), _) => Some(FromServer::Sign),
+        (Some("hb_ok"), call) => {
+            let passed = object.get("c").and_then(Value::as_u64) == Some(1);
+            Some(FromServer::Tested { test: call.unwrap_or_default(), passed, report: report() })
+        }
+        (Some("wait" | "ack"), _) => Some(FromServer::Sign),
         _ => None,
     })
 }
 
-/// How a call ended, by its Q.850 cause; `lines`: a full server said it lacked a line (note `nc`).
-pub(crate) fn ending(cause: u64, lines: bool) -> Ending {
-    match cause {
-        NORMAL => Ending::Normal,
-        FULL => Ending::Full { lines },
-        RESET => Ending::Reset,
-        NOT_SENT => Ending::NotSent,
-        _ => Ending::Error,
-    }
-}
-
-/// A report's fields, as in `x0:12;x1:40;queue:3`; those unknown are passed over.
-pub(crate) fn load(text: &str) -> LoadReport {
-    let mut report = LoadReport::default();
-    for (name, value) in text.split(';').filter_map(|field| field.split_once(':')) {
-        if let Ok(value) = value.trim().parse() {
-            settings::column(name.trim()).fill(&mut report, value);
-        }
-    }
-    report
-}
-
 #[derive(Default, Deserialize, Serialize)]
 struct Line<'a> {
     t: &'a str,
@@ -137,6 +118,7 @@
             }
             ToServer::Release(_) => Line { t: "down", call, c: Some(NORMAL), ..Line::default() },
             ToServer::Heard(_) => Line { t: "ack", call, ..Line::default() },
+            ToServer::Test(_) => Line { t: "hb", call, c: Some(0), ..Line::default() },
         };
         bytes.put_slice(&serde_json::to_vec(&line)?);
         bytes.put_u8(b'\n');
--- a/tests/lab/audit.rs
+++ b/tests/lab/audit.rs
@@ -41,6 +41,8 @@
         sites: None,
         management: true,
         audit: true,
+        links: None,
+        probing: false,
     };
     let instance =
         |i: usize| start(&orders, &folder.path().join(format!("n{i}")), i, list(server.addr)).unwrap();
--- a/tests/lab/fleet.rs
+++ b/tests/lab/fleet.rs
@@ -55,6 +55,8 @@
         sites: None,
         management: false,
         audit: false,
+        links: None,
+        probing: false,
     };
     let listed = |(place, (id, addr)): (usize, (&str, SocketAddr))| Listed {
         id: id.into(),
