--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -14,6 +14,8 @@
 mod peers;
 mod probes;
 mod recovery;
+#[cfg(test)]
+mod tests;
 mod timers;
 
 pub use messages::*;
--- a/src/lab/datagrams.rs
+++ b/src/lab/datagrams.rs
@@ -37,6 +37,8 @@
 pub struct Passed {
     pub taken: u64,
     pub given: u64,
+    /// The longest that went in, bytes.
+    pub longest: usize,
 }
 
 /// One that is held back lets others by for so long.
@@ -224,6 +226,7 @@
         };
         let copies = if lost { Vec::new() } else { (0..copies).map(|_| copy(rng)).collect() };
         link.passed.taken += 1;
+        link.passed.longest = link.passed.longest.max(datagram.len());
         copies
     }
 }
@@ -274,7 +277,7 @@
         }
         ends[1].send_to(b"back", proxy.peers_of(1)[0]).unwrap();
         assert_eq!(heard(&ends[0]).0, b"back");
-        assert_eq!(proxy.passed(0, 1), Passed { taken: 1, given: 0 });
+        assert_eq!(proxy.passed(0, 1), Passed { taken: 1, given: 0, longest: 3 });
         proxy.set(0, 1, Faults { delay_from_ms: 20, delay_to_ms: 40, ..Faults::default() });
         ends[0].send_to(b"late", proxy.peers_of(0)[1]).unwrap();
         assert_eq!(heard(&ends[1]).0, b"late");
--- a/src/lab/fleet.rs
+++ b/src/lab/fleet.rs
@@ -35,7 +35,7 @@
     pub audit: bool,
     /// The links between the instances, if messages are allowed; an instance's own address is told to them.
     pub links: Option<&'a Datagrams>,
-    /// Probes are allowed.
+    /// Probes are allowed, and reports come in their answers alone.
     pub probing: bool,
 }
 
@@ -53,7 +53,7 @@
     let places: Vec<usize> = (0..orders.places).collect();
     let pools = vec![places; orders.classes.len()];
     json!({"siblings": orders.siblings, "index": index, "zones": ["aarhus"], "services": services,
-        "report": {"columns": ["free", "size", "latency_ms", "can_take"], "how": "answers"},
+        "report": {"columns": ["free", "size", "latency_ms", "can_take"], "how": if orders.probing { "probe" } else { "answers" }},
         "ceilings": {"attempts_cap": 6, "cancel": true, "dial_timeout_ms": 500.0, "retry_after": true,
             "max_retry_after_ms": STAY_AWAY_MAX_MS, "open_cap": 20000, "may_tell": orders.links.is_some(),
             "probing": orders.probing},
