--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -11,7 +11,11 @@
 mod liveness;
 mod messages;
 mod operators;
+mod peers;
+mod probes;
 mod recovery;
+#[cfg(test)]
+mod tests;
 mod timers;
 
 pub use messages::*;
@@ -25,6 +29,8 @@
 use callers::Callers;
 use calls::Calls;
 use fleet::Fleet;
+use peers::Peers;
+use probes::Probes;
 use std::collections::VecDeque;
 use timers::Timers;
 
@@ -47,6 +53,9 @@
     /// No connection came up for this attempt in time.
     DialOver(CallId, u32),
     Redial(ServerId),
+    /// A probe's turn, and the end of a probe's time.
+    Probe(ServerId),
+    ProbeOver(u64),
     /// The caller's connection should have asked something by now.
     CallerSilent(CallerConn),
     Look,
@@ -74,6 +83,11 @@
     limits: Option<Limits>,
     /// The plan for the loss of a site, where the operator's file has one, and when its next turn is due.
     recovery: Option<Recovery>,
+    /// What the other border controllers tell, where messages are allowed.
+    peers: Option<Peers>,
+    /// Probes out, where they are allowed.
+    may_probe: bool,
+    probes: Probes,
     sites_turn: Option<f64>,
     callers: Callers,
     calls: Calls,
@@ -112,6 +126,9 @@
             worths: worths(&settings),
             limits: None,
             recovery: None,
+            peers: None,
+            may_probe: settings.may_probe,
+            probes: Probes::default(),
             sites_turn: None,
             controller: Controller::new(settings, seed, now),
             host,
@@ -178,6 +195,7 @@
             Event::List { serial, servers } => self.follow_list(serial, servers, out),
             Event::Settings { settings, host } => self.follow_settings(settings, host),
             Event::Tick => {}
+            Event::Peer { from, told } => self.hear_peer(from, told),
             Event::Operator { conn, ask } => self.hear_operator(conn, ask, out),
             Event::Stop { successor } => self.stop(successor, out),
         }
@@ -217,10 +235,8 @@
             Action::Fail(call) => self.answer(call, ToCaller::Failed(call), out),
             Action::Timer { at, token } => self.timers.set(at, Due::Module(token)),
             Action::Log(text) => log::info!("{text}"),
-            // Border controllers may not probe here and share nothing; the settings tell the module so.
-            Action::Probe(_) | Action::TellAll { .. } => {
-                log::error!("the module asked for what is not allowed")
-            }
+            Action::TellAll { server, report } => self.tell_peers(server, report, out),
+            Action::Probe(server) => self.test_server(server, out),
         }
     }
 
@@ -235,6 +251,8 @@
             }
             Due::DialOver(call, attempt) => self.dial_over(call, attempt),
             Due::Redial(server) => self.redial(server, out),
+            Due::Probe(server) => self.send_probe(server, out),
+            Due::ProbeOver(id) => self.probe_over(id),
             Due::CallerSilent(conn) => self.caller_silent(conn, out),
             Due::Look => {
                 self.look(out);
@@ -256,6 +274,7 @@
             return log::error!("other classes need a restart: the settings stay as they were");
         }
         (self.guard_ms, self.max_attempts, self.host) = (settings.guard_ms, settings.max_attempts, host);
+        self.may_probe = settings.may_probe;
         (self.siblings, self.stay_away_max_ms) = (settings.siblings, settings.stay_away_max_ms);
         self.worths = worths(&settings);
         self.news.push_back(module::Event::Settings(settings));
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -2,28 +2,28 @@
 
 use super::listeners::{self, Heirs};
 use super::servers::Order;
-use super::{WRITE_QUEUE, callers, names, operators, servers};
+use super::{WRITE_QUEUE, callers, names, operators, peers, servers};
 use crate::audit::{AuditSettings, Writer};
+use crate::clock::{Clock, PULSE};
 use crate::codec::h248::{callers::CallerCodec, servers::ServerCodec};
+use crate::codec::peers::{self as datagrams, DATAGRAM_MAX};
 use crate::config::{Config, Source};
 use crate::engine::{
-    CallerConn, Effect, Engine, Event, OperatorAnswer, OperatorAsk, OperatorConn, ServerConn, Standing,
-    ToCaller,
+    CallerConn, Effect, Engine, Event, OperatorAnswer, OperatorAsk, OperatorConn, PeerReport, ServerConn,
+    Standing, ToCaller,
 };
 use crate::fronts::Fronts;
 use crate::limits::{LimitSettings, Limits};
 use crate::logger;
 use crate::recovery::{Recovery, SiteSettings};
 use crate::version::{Status, Version};
-use std::cell::Cell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::rc::Rc;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, oneshot, watch};
-use tokio::task::{JoinSet, LocalSet};
+use tokio::task::{AbortHandle, JoinSet, LocalSet};
 use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
 
 /// Events that may wait for the reducer; a connection that has more to say waits.
@@ -36,27 +36,6 @@
 const LAST_WRITES: Duration = Duration::from_secs(2);
 /// No descriptor is free: the next connection is taken up after this.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-/// How often it is noted that the loop turns; a message read after a stall may have lain for all of it.
-const PULSE: Duration = Duration::from_millis(10);
-
-/// Unix milliseconds, and how long the loop last stood still.
-#[derive(Clone, Default)]
-pub struct Clock {
-    pulse: Rc<Cell<Option<f64>>>,
-}
-
-impl Clock {
-    pub fn now(&self) -> f64 {
-        SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64() * 1000.0
-    }
-
-    /// When what is read now may have come in: a stalled loop reads late, and callers count from their send.
-    pub fn read_at(&self) -> f64 {
-        let now = self.now();
-        let turning = self.pulse.get().map_or(now, |at| at + 2.0 * PULSE.as_secs_f64() * 1000.0);
-        now.min(turning)
-    }
-}
 
 /// The decision modules beside percent blocking that the operator's files turn on; none of them by default.
 #[derive(Debug, Default)]
@@ -101,6 +80,14 @@
         None => None,
     };
     let mut driver = Driver::new(&config, sender.clone(), names, fronts, decisions)?;
+    if let Some(peering) = &config.peering {
+        let at = peering.listen;
+        let peers = peers::Peers::bind(peering, None).map_err(|e| format!("peers at {at}: {e}"))?;
+        log::info!("peers on {}", peers.addr().map_err(|e| format!("peers at {at}: {e}"))?);
+        let sending = peers.sender();
+        let hearing = tokio::task::spawn_local(peers.listen(sender.clone())).abort_handle();
+        driver.peers = Some((sending, hearing));
+    }
     tokio::task::spawn_local(beat(driver.clock.clone()));
     tokio::task::spawn_local(names::poll(at, config.seed, sender));
     let listening = listener.local_addr().map_err(|e| format!("listening: {e}"))?;
@@ -154,7 +141,7 @@
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
-        clock.pulse.set(Some(clock.now()));
+        clock.beat();
     }
 }
 
@@ -187,6 +174,8 @@
     effects: Vec<Effect>,
     exiting: bool,
     fronts: Fronts,
+    /// The socket to the other border controllers, and the task that hears them, where messages are allowed.
+    peers: Option<(peers::Sender, AbortHandle)>,
 }
 
 /// What a caller's connection speaks.
@@ -214,6 +203,9 @@
             log::info!("plan for the loss of a site on: {settings:?}");
             engine = engine.with_recovery(Recovery::new(settings, config.seed));
         }
+        if config.peering.is_some() {
+            engine = engine.with_peers();
+        }
         let (name, version) = (config.name.clone(), decisions.version);
         logger::act_on(&version);
         let mut audit = None;
@@ -246,6 +238,7 @@
             effects: Vec::new(),
             exiting: false,
             fronts,
+            peers: None,
         })
     }
 
@@ -310,6 +303,9 @@
         if new.listen != started.listen {
             log::warn!("listening on {} needs a restart", new.listen);
         }
+        if new.peering != started.peering {
+            log::warn!("other peers need a restart");
+        }
         self.callers_max = new.host.callers_max;
         // Also if it is the same address: the socket is a new one then, and asks at once.
         self.names.send_replace(new.names);
@@ -382,6 +378,7 @@
             Effect::CloseServer(conn) => {
                 self.servers.remove(&conn);
             }
+            Effect::ToPeers(told) => self.tell_peers(&told),
             // Written already, where there is an audit log.
             Effect::Record(_) => {}
             Effect::ToOperator { conn, answer } => {
@@ -389,6 +386,12 @@
                     OperatorAnswer::Standing(standing) => {
                         OperatorAnswer::Status(Box::new(self.status(standing)))
                     }
+                    OperatorAnswer::Figures(mut figures) => {
+                        if let (Some(peers), Some((sending, _))) = (&mut figures.peers, &self.peers) {
+                            sending.add_to(peers);
+                        }
+                        OperatorAnswer::Figures(figures)
+                    }
                     other => other,
                 };
                 // Nobody waits for it if the operator has hung up.
@@ -398,6 +401,16 @@
         }
     }
 
+    fn tell_peers(&self, told: &PeerReport) {
+        let Some((sending, _)) = &self.peers else { return };
+        match datagrams::write(told, &mut [0; DATAGRAM_MAX]) {
+            Ok(datagram) => {
+                sending.to_all(datagram);
+            }
+            Err(e) => log::debug!("nothing told of {}: {e:?}", told.server),
+        }
+    }
+
     fn status(&self, standing: Standing) -> Status {
         Status {
             name: self.name.clone(),
@@ -437,6 +450,10 @@
                 self.accept(stream, Speech::Text);
             }
         }
+        // What peers send is for the successor alone from now on: both would get a part of it.
+        if successor && let Some((_, hearing)) = self.peers.take() {
+            hearing.abort();
+        }
         self.step(Event::Stop { successor });
     }
 
