--- /dev/null
+++ b/src/net/figures.rs
@@ -0,0 +1,141 @@
+//! The figures in Prometheus's text format.
+
+use crate::engine::Figures;
+use crate::recovery::{RecoveryFigures, State};
+use prometheus_client::collector::Collector;
+use prometheus_client::encoding::text::encode_registry;
+use prometheus_client::encoding::{DescriptorEncoder, EncodeGaugeValue};
+use prometheus_client::metrics::MetricType;
+use prometheus_client::registry::Registry;
+use std::fmt::Error;
+
+/// Version 0.0.4 of the text format.
+pub const CONTENT_TYPE: &str = prometheus_client::encoding::prometheus_text::CONTENT_TYPE;
+
+/// The whole text, as it is scraped; every name begins with `gw_`.
+pub fn text(figures: Figures) -> String {
+    let mut registry = Registry::with_prefix("gw");
+    registry.register_collector(Box::new(figures));
+    let mut text = String::new();
+    // Writing to a text does not fail.
+    let _ = encode_registry(&mut text, &registry);
+    // The library writes a help line for each figure; docs/operations.md says what they mean.
+    text.split_inclusive('\n').filter(|line| !line.starts_with("# HELP ")).collect()
+}
+
+/// Writes the figures one after another.
+struct Scrape<'a>(DescriptorEncoder<'a>);
+
+impl Scrape<'_> {
+    /// A figure that counts up. It is written as a gauge is: the library puts `_total` behind the names of counters,
+    /// and these are scraped without.
+    fn count<'a, const N: usize>(
+        &mut self,
+        name: &str,
+        series: impl IntoIterator<Item = ([(&'a str, &'a str); N], u64)>,
+    ) -> Result<(), Error> {
+        self.figure(name, MetricType::Counter, series)
+    }
+
+    fn gauge<'a, const N: usize, V: EncodeGaugeValue>(
+        &mut self,
+        name: &str,
+        series: impl IntoIterator<Item = ([(&'a str, &'a str); N], V)>,
+    ) -> Result<(), Error> {
+        self.figure(name, MetricType::Gauge, series)
+    }
+
+    fn figure<'a, const N: usize, V: EncodeGaugeValue>(
+        &mut self,
+        name: &str,
+        kind: MetricType,
+        series: impl IntoIterator<Item = ([(&'a str, &'a str); N], V)>,
+    ) -> Result<(), Error> {
+        let mut metric = self.0.encode_descriptor(name, "", None, kind)?;
+        for (labels, value) in series {
+            metric.encode_family(&labels)?.encode_gauge(&value)?;
+        }
+        Ok(())
+    }
+}
+
+/// Thousandths.
+fn rounded(share: f64) -> f64 {
+    (share * 1000.0).round() / 1000.0
+}
+
+impl Collector for Figures {
+    fn encode(&self, encoder: DescriptorEncoder) -> Result<(), Error> {
+        let mut scrape = Scrape(encoder);
+        let handled = self.outcomes.iter().flat_map(|(class, n)| {
+            [("passed", n.stood), ("dropped", n.refused), ("bad_gateway", n.failed)]
+                .map(|(outcome, n)| ([("category", class.as_str()), ("outcome", outcome)], n))
+        });
+        scrape.count("handled", handled)?;
+        scrape.count("upstream_tries", [([], self.tries)])?;
+        scrape.gauge("in_progress", [([], self.in_progress)])?;
+        scrape.gauge("known_call_servers", [([], self.known)])?;
+        scrape.gauge("skipped_call_servers", [([], self.skipped)])?;
+        // Only where the fleet limits are on, so that a scrape of a program without them is as it was.
+        if let Some(shed) = self.limits {
+            let retries = [("sent", shed.retries_sent), ("shed", shed.retries)];
+            scrape.count("retries", retries.map(|(outcome, n)| ([("outcome", outcome)], n)))?;
+            scrape.count("first_attempts_shed", [([], shed.firsts_shed)])?;
+        }
+        self.recovery.as_ref().map_or(Ok(()), |recovery| sites(recovery, &mut scrape))
+    }
+}
+
+/// The sites' part of the figures, where there is a plan for their loss.
+fn sites(recovery: &RecoveryFigures, scrape: &mut Scrape) -> Result<(), Error> {
+    let of_each = || recovery.sites.iter().map(|s| ([("site", s.site.as_str())], s));
+    let states = of_each().flat_map(|([site], s)| {
+        [State::Up, State::Lost, State::Returning]
+            .map(|state| ([site, ("state", state.name())], u64::from(s.state == state)))
+    });
+    scrape.gauge("site_state", states)?;
+    scrape.gauge("site_share", of_each().map(|(labels, s)| (labels, rounded(s.share))))?;
+    scrape.count("site_calls_moved", of_each().map(|(labels, s)| (labels, s.moved)))?;
+    scrape.count("no_room_refused", [([], recovery.refused)])?;
+    scrape.gauge("no_room_share", [([], rounded(recovery.refused_share))])
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn retries_are_shown_only_where_the_fleet_limits_are_on() {
+        let off = Figures::default();
+        assert!(!text(off).contains("gw_retries"));
+        let shed = crate::limits::Shed { retries: 3, retries_sent: 5, firsts: 40, firsts_shed: 2 };
+        let on = text(Figures { limits: Some(shed), ..Figures::default() });
+        assert!(
+            on.contains("gw_retries{outcome=\"sent\"} 5\n")
+                && on.contains("gw_retries{outcome=\"shed\"} 3\n")
+                && on.contains("gw_first_attempts_shed 2\n")
+        );
+    }
+
+    #[test]
+    fn sites_are_shown_only_where_there_is_a_plan() {
+        assert!(!text(Figures::default()).contains("gw_site"));
+        let site = crate::recovery::SiteFigures {
+            site: "aarhus".into(),
+            state: State::Returning,
+            share: 0.25,
+            moved: 12,
+        };
+        let recovery = RecoveryFigures { sites: vec![site], refused: 4, refused_share: 0.05 };
+        let text = text(Figures { recovery: Some(recovery), ..Figures::default() });
+        for line in [
+            "gw_site_state{site=\"aarhus\",state=\"returning\"} 1\n",
+            "gw_site_state{site=\"aarhus\",state=\"up\"} 0\n",
+            "gw_site_share{site=\"aarhus\"} 0.25\n",
+            "gw_site_calls_moved{site=\"aarhus\"} 12\n",
+            "gw_no_room_refused 4\n",
+        ] {
+            assert!(text.contains(line), "{line} in {text}");
+        }
+    }
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod callers;
 pub mod driver;
+pub mod figures;
 pub mod listeners;
 pub mod names;
 pub mod operators;
