Fold callers' repeats into their first try in the lab's summary, and tell the spread over instances

Need: `att/offer` counts a caller's repeat as a new offer, so a bound that only moves work from the fleet to its callers looks like a gain; nothing told of the worth served in time, or of an instance that serves its callers badly.

Tables, CSV, JSON and chart carry them; `src/lab/summary.rs` and `src/lab/chart.rs` come out of `results.rs`, `tally.rs` out of `caller.rs`. Callers may heed advice and else dial again at once (`repeats: {how: heeding}`); what they repeat after the offer's end is waited for and counted.

--- a/src/lab/caller.rs
+++ b/src/lab/caller.rs
@@ -3,6 +3,7 @@
 //! classes at a paced rate, offers those turned away again if told to, and holds every set-up to one final answer.
 //! It finds its instance again after a crash.
 
+pub use super::tally::Tally;
 use std::collections::{HashMap, HashSet};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -51,6 +52,8 @@
     AtOnce,
     /// After the time it was told to stay away; without such advice it gives up.
     Advised,
+    /// After the time it was told to stay away; without such advice at once.
+    Heeding,
 }
 
 /// What one caller offers.
@@ -70,50 +73,6 @@
     pub seed: u64,
 }
 
-/// What a caller heard in one second of the run for one class, by the set-ups it offered in that second.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize)]
-pub struct Tally {
-    /// Set-ups offered, repeats among them.
-    pub offered: u64,
-    /// Of these, repeats of one turned away.
-    pub repeats: u64,
-    /// Answered: the call stood.
-    pub answered: u64,
-    /// Refused by the border controller (cause 42).
-    pub refused: u64,
-    /// Of these, with advice to stay away.
-    pub advised: u64,
-    /// Ended otherwise: failed at a server, timed out, cut.
-    pub failed: u64,
-    /// A second final answer, or an answer out of turn: never allowed.
-    pub doubled: u64,
-    /// Still without a final answer when the caller stopped waiting, at an instance that lived: never allowed.
-    pub lost: u64,
-    /// Without a final answer since their instance was crashed, or offered while it was down: the crash's own loss.
-    pub cut: u64,
-    /// Calls that stood, and of whose end nothing was heard.
-    pub unended: u64,
-    /// The longest time to a refusal, ms.
-    pub slowest_refusal_ms: u64,
-}
-
-impl Tally {
-    /// Adds another's counts.
-    pub fn add(&mut self, from: &Tally) {
-        self.offered += from.offered;
-        self.repeats += from.repeats;
-        self.answered += from.answered;
-        self.refused += from.refused;
-        self.advised += from.advised;
-        self.failed += from.failed;
-        self.doubled += from.doubled;
-        self.lost += from.lost;
-        self.cut += from.cut;
-        self.unended += from.unended;
-        self.slowest_refusal_ms = self.slowest_refusal_ms.max(from.slowest_refusal_ms);
-    }
-}
-
 /// Where an instance's callers find it: nowhere while it is down.
 #[derive(Default)]
 pub struct Door(Mutex<Option<SocketAddr>>);
@@ -136,6 +95,9 @@
     class: usize,
     place: u32,
     repeat: u32,
+    /// When it was offered first, and in which second of the run.
+    first: Instant,
+    first_second: usize,
 }
 
 /// One that is open: when it was offered, and whether it stands.
@@ -177,6 +139,11 @@
         self.open.values().any(|o| !o.standing || self.await_ends)
     }
 
+    /// Nothing comes again any more.
+    fn settled(&self) -> bool {
+        self.again.is_empty() && (self.repeats.is_none() || self.open.values().all(|o| o.standing))
+    }
+
     /// Takes one message: its type, call, cause and advice to stay away.
     fn hear(&mut self, (kind, call, cause, stay_away): Heard) {
         if kind == TEST_ANSWER || self.cut.contains(&call) {
@@ -186,8 +153,10 @@
         match (kind, found) {
             (ANSWERED, Some(o)) if !o.standing => {
                 o.standing = true;
-                let (second, class) = (o.second, o.offer.class);
-                self.tally(second, class).answered += 1;
+                let (second, offer) = (o.second, o.offer);
+                self.tally(second, offer.class).answered += 1;
+                let after_ms = offer.first.elapsed().as_secs_f64() * 1000.0;
+                self.tally(offer.first_second, offer.class).stand(after_ms);
             }
             (RELEASE, Some(o)) if o.standing => {
                 self.open.remove(&call);
@@ -214,6 +183,7 @@
         let wait = match repeats.how {
             When::AtOnce => Some(0),
             When::Advised => stay_away,
+            When::Heeding => Some(stay_away.unwrap_or(0)),
         };
         if let Some(ms) = wait {
             let due = Instant::now() + Duration::from_millis(ms);
@@ -368,7 +338,7 @@
     loop {
         let second = since.elapsed().as_secs() as usize;
         let over = second >= seconds;
-        if over && (lock(&ledger).again.is_empty() || since.elapsed().as_secs() as usize > seconds + 3) {
+        if over && (lock(&ledger).settled() || since.elapsed().as_secs() as usize > seconds + 3) {
             break;
         }
         if lock(&ledger).broken {
@@ -384,6 +354,7 @@
             readers.push(std::thread::spawn(move || read(half, &ledger, &door, patience)));
             writer = Some(stream);
         }
+        let at_second = second.min(seconds.saturating_sub(1));
         let mut wanted = Vec::new();
         if !over {
             let into = (since.elapsed().as_secs_f64() - second as f64).clamp(0.0, 1.0);
@@ -399,7 +370,8 @@
                 let place = profile.places.get(rng.usize(0..profile.places.len().max(1)));
                 let number = rng.u64(..);
                 let (class, place) = (class.unwrap_or(0), place.copied().unwrap_or(0));
-                wanted.push(Offer { number, class, place, repeat: 0 });
+                let first = Instant::now();
+                wanted.push(Offer { number, class, place, repeat: 0, first, first_second: at_second });
             }
         }
         let now = Instant::now();
@@ -410,7 +382,6 @@
             }
             !due
         });
-        let at_second = second.min(seconds.saturating_sub(1));
         for offer in wanted {
             let call = next;
             next += 1;
@@ -456,8 +427,8 @@
 
     fn ledger(repeats: Option<Repeats>) -> Ledger {
         let mut ledger = Ledger { classes: 1, repeats, ..Ledger::default() };
-        let offer = Offer { number: 1, class: 0, place: 0, repeat: 0 };
         let at = Instant::now();
+        let offer = Offer { number: 1, class: 0, place: 0, repeat: 0, first: at, first_second: 0 };
         for call in 1..=3 {
             ledger.open.insert(call, Open { offer, second: 0, at, standing: false });
         }
@@ -490,4 +461,30 @@
         assert_eq!(advised.again.len(), 1);
         assert!(advised.again[0].0 > Instant::now());
     }
+
+    #[test]
+    fn one_that_heeds_advice_comes_again_then_and_else_at_once() {
+        let mut heeding = ledger(Some(Repeats { how: When::Heeding, most: 1 }));
+        heeding.hear((RELEASE, 1, Some(REFUSED), None));
+        heeding.hear((RELEASE, 2, Some(REFUSED), Some(900_000)));
+        let now = Instant::now();
+        assert_eq!(heeding.again.iter().filter(|(at, _)| *at <= now).count(), 1);
+        assert_eq!(heeding.again.len(), 2);
+    }
+
+    #[test]
+    fn a_repeat_that_stands_belongs_to_its_first_try() {
+        let mut ledger = Ledger { classes: 1, ..Ledger::default() };
+        let at = Instant::now();
+        // Three calls that stand now at their second try, in second 7; they were offered first in second 2.
+        for (call, ago_ms) in [(1, 900), (2, 3000), (3, 9500)] {
+            let first = at.checked_sub(Duration::from_millis(ago_ms)).unwrap();
+            let offer = Offer { number: 1, class: 0, place: 0, repeat: 1, first, first_second: 2 };
+            ledger.open.insert(call, Open { offer, second: 7, at, standing: false });
+            ledger.hear((ANSWERED, call, None, None));
+        }
+        let (first, repeat) = (*ledger.tally(2, 0), *ledger.tally(7, 0));
+        assert_eq!((first.stood, first.in_time, first.late, first.answered), (3, 1, 1, 0));
+        assert_eq!((repeat.stood, repeat.answered), (0, 3));
+    }
 }
--- a/src/lab/fleet.rs
+++ b/src/lab/fleet.rs
@@ -3,6 +3,7 @@
 
 use crate::lab::caller::Class;
 use crate::lab::names::{Listed, Names};
+use crate::lab::tally::{AIM_MS, DEADLINE_MS, LATE_WORTH};
 use serde_json::{Value, json};
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
@@ -40,8 +41,8 @@
         .classes
         .iter()
         .map(|c| {
-            json!({"name": c.name, "deadline_ms": 9000.0, "target_ms": 1500.0, "worth": c.worth,
-                "late_worth": 0.2})
+            json!({"name": c.name, "deadline_ms": DEADLINE_MS, "target_ms": AIM_MS, "worth": c.worth,
+                "late_worth": LATE_WORTH})
         })
         .collect();
     let widths = vec![1; orders.classes.len()];
--- a/src/lab/mod.rs
+++ b/src/lab/mod.rs
@@ -8,6 +8,7 @@
 //! The figures go to [`results`] as tables (CSV, JSON) and a chart (SVG).
 
 pub mod caller;
+mod chart;
 pub mod fleet;
 pub mod names;
 pub mod proxy;
@@ -15,6 +16,8 @@
 pub mod room;
 pub mod scenario;
 pub mod standin;
+mod summary;
+pub mod tally;
 
 use caller::Door;
 use fleet::{Instance, Orders};
@@ -45,8 +48,12 @@
     pub attempts: u64,
     /// Set-ups that it answered.
     pub answered: u64,
+    /// Set-ups that it sent back, as it was full or with an error.
+    pub sent_back: u64,
     /// The longest wait that it reported, ms.
     pub wait_ms: u64,
+    /// It sent set-ups back, or reported a longer wait than the scenario's `pressed_ms`.
+    pub pressed: bool,
     /// Times that it fell over.
     pub falls: u64,
     /// Connections dialled to it through the proxies, by the whole fleet.
@@ -62,6 +69,8 @@
     pub second: usize,
     /// The class's name.
     pub class: String,
+    /// What a call of it is worth.
+    pub worth: f64,
     /// The callers' tally, summed over the instances.
     pub tally: caller::Tally,
 }
@@ -75,6 +84,8 @@
     pub instance: usize,
     /// Its callers' tally.
     pub tally: caller::Tally,
+    /// What they offered and got, over all classes.
+    pub worth: tally::Worth,
 }
 
 /// The figures of the runs.
@@ -266,19 +277,20 @@
     };
     let offers: Vec<_> = rig.doors.iter().enumerate().map(offer).collect();
     let mut figures = Figures::default();
-    let mut before = vec![[0u64; 4]; rig.servers.len()];
+    let mut before = vec![[0u64; 5]; rig.servers.len()];
     let since = Instant::now();
     for second in 0..scenario.seconds {
         rig.strike(second)?;
         let end = Duration::from_secs(second as u64 + 1);
         std::thread::sleep(end.saturating_sub(since.elapsed()));
         for (s, server) in rig.servers.iter().enumerate() {
-            let count = |c: &std::sync::atomic::AtomicU64| c.load(std::sync::atomic::Ordering::Relaxed);
             let dials: u64 = rig.proxies.iter().map(|row| row[s].accepted()).sum();
-            let (answered, falls) = (count(&server.counts.answered), count(&server.counts.falls));
-            let now = [server.set_ups(), answered, falls, dials];
-            let [attempts, answered, falls, dials] = std::array::from_fn(|k| now[k] - before[s][k]);
+            let [attempts, answered, sent_back, falls] = server.counted();
+            let now = [attempts, answered, sent_back, falls, dials];
+            let [attempts, answered, sent_back, falls, dials] =
+                std::array::from_fn(|k| now[k] - before[s][k]);
             before[s] = now;
+            let wait_ms = server.longest_wait_ms();
             figures.servers.push(ServerSecond {
                 run,
                 second,
@@ -286,7 +298,9 @@
                 site: scenario.servers[s].site.clone().unwrap_or_default(),
                 attempts,
                 answered,
-                wait_ms: server.longest_wait_ms(),
+                sent_back,
+                wait_ms,
+                pressed: sent_back > 0 || wait_ms > scenario.pressed_ms,
                 falls,
                 dials,
             });
@@ -297,17 +311,29 @@
         .map(std::thread::JoinHandle::join)
         .collect::<Result<_, _>>()
         .map_err(|_| "lab: a caller stopped")?;
+    // What callers repeated after the end they count in the last second, so servers do as well.
+    let last = figures.servers.len() - rig.servers.len();
+    for ((seen, server), before) in figures.servers[last..].iter_mut().zip(&rig.servers).zip(&before) {
+        let [attempts, answered, sent_back, _] = server.counted();
+        seen.attempts += attempts - before[0];
+        seen.answered += answered - before[1];
+        seen.sent_back += sent_back - before[2];
+    }
     for second in 0..scenario.seconds {
         for (k, class) in scenario.classes.iter().enumerate() {
             let mut tally = caller::Tally::default();
             of_all.iter().for_each(|seconds: &Vec<Vec<_>>| tally.add(&seconds[second][k]));
-            figures.callers.push(CallerSecond { run, second, class: class.name.clone(), tally });
+            let (class, worth) = (class.name.clone(), class.worth);
+            figures.callers.push(CallerSecond { run, second, class, worth, tally });
         }
     }
     for (instance, seconds) in of_all.iter().enumerate() {
-        let mut tally = caller::Tally::default();
-        seconds.iter().flatten().for_each(|t| tally.add(t));
-        figures.instances.push(InstanceRun { run, instance, tally });
+        let (mut tally, mut worth) = (caller::Tally::default(), tally::Worth::default());
+        for (t, class) in seconds.iter().flat_map(|by_class| by_class.iter().zip(&scenario.classes)) {
+            tally.add(t);
+            worth.add(t, class.worth);
+        }
+        figures.instances.push(InstanceRun { run, instance, tally, worth });
     }
     Ok(figures)
 }
--- a/src/lab/scenario.rs
+++ b/src/lab/scenario.rs
@@ -36,6 +36,9 @@
     pub load: Vec<Step>,
     /// The stand-in call servers.
     pub servers: Vec<Server>,
+    /// A server that reports a longer wait counts as pressed in that second, as does one that sends set-ups back; ms.
+    #[serde(default = "pressed_ms")]
+    pub pressed_ms: u64,
     /// What happens, and when.
     #[serde(default)]
     pub faults: Vec<Event>,
@@ -57,6 +60,9 @@
 fn wait_ms() -> u32 {
     2000
 }
+fn pressed_ms() -> u64 {
+    500
+}
 fn classes() -> Vec<Class> {
     vec![Class { name: "voice".into(), worth: 1.0, part: 1.0 }]
 }
--- a/src/lab/standin.rs
+++ b/src/lab/standin.rs
@@ -45,6 +45,8 @@
     pub set_ups: AtomicU64,
     /// Set-ups answered.
     pub answered: AtomicU64,
+    /// Set-ups sent back, as it was full or with an error.
+    pub sent_back: AtomicU64,
     /// The longest wait told in a report since it was last asked for, ms.
     pub wait_ms: AtomicU64,
     /// Times that it fell over.
@@ -175,6 +177,12 @@
         self.counts.set_ups.load(Ordering::Relaxed)
     }
 
+    /// What it counted so far: set-ups read, answered and sent back, and its falls.
+    pub(super) fn counted(&self) -> [u64; 4] {
+        let Counts { set_ups, answered, sent_back, falls, .. } = &*self.counts;
+        [set_ups, answered, sent_back, falls].map(|count| count.load(Ordering::Relaxed))
+    }
+
     /// The longest wait reported since it was last asked for, ms.
     pub fn longest_wait_ms(&self) -> u64 {
         self.counts.wait_ms.swap(0, Ordering::Relaxed)
@@ -249,20 +257,24 @@
     let mode = shared.mode.load(Ordering::Relaxed);
     let down =
         |cause: u32, load: &str| line(&json!({"t": "down", "ref": call, "f": {"load": load}, "c": cause}));
+    let sent_back = |answer: String| {
+        shared.counts.sent_back.fetch_add(1, Ordering::Relaxed);
+        vec![(Duration::ZERO, answer)]
+    };
     let well = "x0:80;x1:100;latency_ms:5;can_take:400";
     if mode == Mode::Mute as u8 || mode == Mode::Down as u8 {
         return Vec::new();
     } else if mode == Mode::Reset as u8 {
-        return vec![(Duration::ZERO, down(41, well))];
+        return sent_back(down(41, well));
     } else if mode == Mode::Flaky as u8 && heard.is_multiple_of(2) {
-        return vec![(Duration::ZERO, down(38, well))];
+        return sent_back(down(38, well));
     }
     let full = |wait_ms: f64, can_take: f64| {
         let load = format!("x0:0;x1:100;latency_ms:{wait_ms:.0};can_take:{can_take:.0}");
         line(&json!({"t": "down", "ref": call, "f": {"note": "ovl", "load": load}, "c": 34}))
     };
     if mode == Mode::Full as u8 {
-        return vec![(Duration::ZERO, full(3000.0, 1.0))];
+        return sent_back(full(3000.0, 1.0));
     }
     let mut room = shared.room();
     let met = room.meet(now);
@@ -275,7 +287,7 @@
         }
         Met::Full(wait_ms) => {
             shared.counts.wait_ms.fetch_max(wait_ms as u64, Ordering::Relaxed);
-            vec![(Duration::ZERO, full(wait_ms, can_take))]
+            sent_back(full(wait_ms, can_take))
         }
         Met::Answered(after, wait_ms) => {
             shared.counts.wait_ms.fetch_max(wait_ms as u64, Ordering::Relaxed);
