--- a/src/lib.rs
+++ b/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod policy;
 pub mod recovery;
 pub mod settings;
+pub mod shares;
 pub mod terms;
 pub mod version;
 pub mod worth;
