Divide fleet-wide budgets by leases under an elected grantor, with a seeded fleet simulation

Instances kept to a part told once (siblings): with an uneven front or half the fleet gone, capacity lay idle or was overspent. Keepers now elect one grantor by majority leases (PaxosLease), which divides each budget by water-filling in rounds; parts are leases, shrunk before others grow.

--- a/src/shares/mod.rs
+++ b/src/shares/mod.rs
@@ -6,10 +6,16 @@
 //! `round_ms`, asks all members for their demand, and grants parts that lapse. [`Purse`] spends them on the traffic
 //! side, and [`Exchange`] is what lies between the two threads. `docs/shares.md` tells why it is safe.
 
+mod divide;
 mod exchange;
+mod grantor;
+mod holder;
+mod ledger;
+mod mastership;
 mod message;
 mod purse;
 mod settings;
+pub mod sim;
 
 pub use exchange::{Exchange, Snapshot};
 pub use message::{Granted, Message, Reported};
@@ -17,6 +23,11 @@
 pub use settings::ShareSettings;
 
 use crate::terms::{Budget, Demand, Epoch, Member, Part};
+use grantor::Grantor;
+use holder::Holder;
+use mastership::Keeper;
+
+type Sends = Vec<(Member, Message)>;
 
 /// What happened.
 #[derive(Clone, Debug, PartialEq)]
@@ -77,7 +88,13 @@
 #[derive(Clone, Debug)]
 pub struct Shares {
     settings: ShareSettings,
+    me: Member,
     deadline_ms: f64,
+    now: f64,
+    budgets: Vec<Budget>,
+    keeper: Option<Keeper>,
+    grantor: Option<Grantor>,
+    holder: Holder,
 }
 
 impl Shares {
@@ -85,26 +102,165 @@
     /// are checked; `seed` must differ from the one of its last start.
     #[must_use]
     pub fn new(settings: ShareSettings, me: Member, seed: u64, now: f64) -> Self {
-        let _ = (me, seed, now);
-        let deadline_ms = settings.round_ms / 4.0;
-        Shares { settings, deadline_ms }
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let life = rng.u32(1..);
+        let keeper = settings.keepers.contains(&me).then(|| Keeper::new(&settings, me, rng.u64(..), now));
+        Shares {
+            me,
+            deadline_ms: settings.round_ms / 4.0,
+            now,
+            budgets: settings.budgets.clone(),
+            keeper,
+            grantor: None,
+            holder: Holder::new(&settings, life),
+            settings,
+        }
     }
 
     /// Takes up one input; `now` never goes back.
     pub fn step(&mut self, now: f64, input: Input, out: &mut Vec<Output>) {
-        let _ = (now, input, out);
+        let now = now.max(self.now);
+        self.now = now;
+        let mut sends = Sends::new();
+        // A lease that ran out while this process stood still is over before anything else is done.
+        self.sync(now, out);
+        match input {
+            Input::Heard { from, message } if from != self.me => {
+                self.heard(now, from, &message, &mut sends, out)
+            }
+            Input::Heard { .. } | Input::Tick => {}
+            Input::Demand(demands) => self.holder.demand(demands),
+            Input::Budgets(booked) => self.rebudget(booked),
+            Input::Leave => self.leave(now, &mut sends, out),
+        }
+        loop {
+            self.sync(now, out);
+            if let Some(keeper) = &mut self.keeper {
+                keeper.tick(now, &mut sends);
+            }
+            if let Some(grantor) = &mut self.grantor {
+                grantor.tick(now, self.deadline_ms, &mut sends, out);
+            }
+            if sends.is_empty() {
+                break;
+            }
+            for (to, message) in std::mem::take(&mut sends) {
+                if to == self.me {
+                    self.heard(now, to, &message, &mut sends, out);
+                } else {
+                    out.push(Output::Send { to, message });
+                }
+            }
+        }
+    }
+
+    /// Takes up or puts down the grantor's office as the lease says.
+    fn sync(&mut self, now: f64, out: &mut Vec<Output>) {
+        if self.holder.lapse(now) {
+            out.push(Output::Parts(self.holder.parts()));
+        }
+        let epoch = self.keeper.as_ref().and_then(|keeper| keeper.epoch(now));
+        let was = self.grantor.as_ref().map(|grantor| grantor.epoch);
+        if epoch == was {
+            return;
+        }
+        self.grantor = epoch.map(|epoch| Grantor::new(&self.settings, epoch, &self.budgets, now));
+        out.push(Output::Mastership(epoch));
+    }
+
+    fn heard(&mut self, now: f64, from: Member, message: &Message, sends: &mut Sends, out: &mut Vec<Output>) {
+        match message {
+            Message::Ask { epoch, round } => {
+                let answers = self.holder.asked(now, from, *epoch, *round);
+                if let Some(keeper) = &mut self.keeper
+                    && mastership::is_epoch_of(*epoch, from)
+                {
+                    keeper.heard_epoch(*epoch);
+                    if from != self.me && !matches!(answers[..], [] | [Message::Stale { .. }]) {
+                        keeper.heard_grantor(now);
+                    }
+                }
+                sends.extend(answers.into_iter().map(|answer| (from, answer)));
+            }
+            Message::Grant { epoch, seq, life, stamp, lines } => {
+                if mastership::is_epoch_of(*epoch, from)
+                    && let Some((ack, changed)) =
+                        self.holder.granted(now, (*epoch, *seq, *life), *stamp, lines)
+                {
+                    if changed {
+                        out.push(Output::Parts(self.holder.parts()));
+                    }
+                    sends.push((from, ack));
+                }
+            }
+            Message::Report { .. } | Message::Ack { .. } | Message::Gone { .. } => {
+                if let Some(grantor) = &mut self.grantor {
+                    grantor.heard(now, from, message, sends, out);
+                }
+            }
+            Message::Stale { epoch } => {
+                if let Some(keeper) = &mut self.keeper {
+                    keeper.stale(now, *epoch);
+                }
+                let stale = self.grantor.as_ref().is_some_and(|g| g.epoch < *epoch);
+                self.sync(now, out);
+                if stale && self.grantor.is_none() {
+                    let why = format!("member {} knows of a later epoch: one above it is sought", from.0);
+                    out.push(Output::Note(why));
+                }
+            }
+            _ => {
+                if let Some(keeper) = &mut self.keeper {
+                    keeper.heard(now, from, message, sends);
+                }
+                self.sync(now, out);
+            }
+        }
+    }
+
+    fn rebudget(&mut self, booked: Vec<Budget>) {
+        let stands = |b: &&Budget| !booked.iter().any(|other| other.id == b.id);
+        let mut budgets: Vec<Budget> = self.settings.budgets.iter().filter(stands).cloned().collect();
+        budgets.extend(booked);
+        budgets.sort_by_key(|b| b.id);
+        budgets.dedup_by_key(|b| b.id);
+        if budgets == self.budgets {
+            return;
+        }
+        self.budgets = budgets;
+        if let Some(grantor) = &mut self.grantor {
+            grantor.budgets(&self.budgets);
+        }
+    }
+
+    fn leave(&mut self, now: f64, sends: &mut Sends, out: &mut Vec<Output>) {
+        let gone = self.holder.leave();
+        out.push(Output::Parts(Vec::new()));
+        sends.extend(gone);
+        if let Some(keeper) = &mut self.keeper {
+            keeper.leave(now, sends);
+        }
     }
 
     /// When [`Input::Tick`] is due next, on the clock of `now`.
     #[must_use]
     pub fn next_due(&self) -> f64 {
-        f64::INFINITY
+        let keeper = self.keeper.as_ref().map_or(f64::INFINITY, Keeper::due);
+        let grantor = self.grantor.as_ref().map_or(f64::INFINITY, |g| g.due(self.deadline_ms));
+        self.holder.due().min(keeper).min(grantor)
     }
 
-    /// The grantor this member knows of: heard within a lease, or itself.
+    /// The grantor this member knows of: itself, or one heard within a lease.
     #[must_use]
     pub fn master(&self) -> Option<(Member, Epoch)> {
-        None
+        let own = self.grantor.as_ref().map(|grantor| (self.me, grantor.epoch));
+        own.or_else(|| self.holder.grantor(self.now))
+    }
+
+    /// The budgets that are divided: the operator's and those booked.
+    #[must_use]
+    pub fn budgets(&self) -> &[Budget] {
+        &self.budgets
     }
 
     /// How long a round waits for reports before it is divided with what came, ms; at most half a round. A quarter of
--- a/src/shares/purse.rs
+++ b/src/shares/purse.rs
@@ -41,12 +41,12 @@
     }
 
     /// Fills up to `now`: with the part while it holds, then without.
-    fn fill(&mut self, now: f64) {
+    fn fill(&mut self, now: f64, pace: f64) {
         if self.at < self.until {
             let held = now.min(self.until) - self.at;
             if held > 0.0 {
                 let room = self.floor_burst + self.part_burst;
-                self.level = (self.level + held * (self.floor_per_ms + self.part_per_ms)).min(room);
+                self.level = (self.level + held * pace * (self.floor_per_ms + self.part_per_ms)).min(room);
                 self.at = now.min(self.until);
             }
         }
@@ -56,7 +56,7 @@
             self.level = self.level.min(self.floor_burst);
         }
         if now > self.at {
-            self.level = (self.level + (now - self.at) * self.floor_per_ms).min(self.floor_burst);
+            self.level = (self.level + (now - self.at) * pace * self.floor_per_ms).min(self.floor_burst);
             self.at = now;
         }
     }
@@ -70,6 +70,8 @@
 #[derive(Clone, Debug)]
 pub struct Purse {
     members: u16,
+    /// Of the clock's time, what is surely true time.
+    pace: f64,
     /// By number.
     buckets: Vec<Bucket>,
 }
@@ -78,20 +80,28 @@
     /// Empty buckets for these budgets; floors are split among so many members.
     #[must_use]
     pub fn new(budgets: Vec<Budget>, members: u16, now: f64) -> Self {
-        let mut purse = Purse { members, buckets: Vec::new() };
+        let mut purse = Purse { members, pace: 1.0, buckets: Vec::new() };
         purse.budgets(now, &budgets);
         purse
     }
 
+    /// Fills as much slower as this clock may run fast (the settings' `drift`): the bound holds in true time.
+    #[must_use]
+    pub fn with_drift(mut self, drift: f64) -> Self {
+        self.pace = 1.0 / (1.0 + drift);
+        self
+    }
+
     /// The budgets are these from now on: what is there is kept as far as it fits, new ones start empty and without a
     /// part.
     pub fn budgets(&mut self, now: f64, budgets: &[Budget]) {
+        let pace = self.pace;
         let mut old = std::mem::take(&mut self.buckets);
         for budget in budgets {
             let bucket = match old.iter().position(|b| b.id == budget.id) {
                 Some(at) => {
                     let mut bucket = old.swap_remove(at);
-                    bucket.fill(now);
+                    bucket.fill(now, pace);
                     bucket.floor(budget, self.members);
                     bucket.level = bucket.level.min(bucket.room());
                     bucket
@@ -106,7 +116,7 @@
     /// The parts are these from now on, and no others.
     pub fn take(&mut self, now: f64, parts: &[Part]) {
         for bucket in &mut self.buckets {
-            bucket.fill(now);
+            bucket.fill(now, self.pace);
             let part = parts.iter().find(|p| p.budget == bucket.id && p.until > now);
             bucket.part_per_ms = part.map_or(0.0, |p| p.per_s / 1000.0);
             bucket.part_burst = part.map_or(0.0, |p| p.burst);
@@ -117,8 +127,7 @@
 
     /// Spends one, if there is one at this time. A budget that is not known has none.
     pub fn spend(&mut self, now: f64, budget: BudgetId) -> bool {
-        let Some(bucket) = self.bucket(budget) else { return false };
-        bucket.fill(now);
+        let Some(bucket) = self.filled(now, budget) else { return false };
         let can = bucket.level >= 1.0;
         if can {
             bucket.level -= 1.0;
@@ -128,23 +137,19 @@
 
     /// What could be spent at once now.
     pub fn level(&mut self, now: f64, budget: BudgetId) -> f64 {
-        self.bucket(budget).map_or(0.0, |b| {
-            b.fill(now);
-            b.level
-        })
+        self.filled(now, budget).map_or(0.0, |b| b.level)
     }
 
     /// The rate (per second) and the burst in force now, floor and part together.
     pub fn room(&mut self, now: f64, budget: BudgetId) -> (f64, f64) {
-        self.bucket(budget).map_or((0.0, 0.0), |b| {
-            b.fill(now);
-            ((b.floor_per_ms + b.part_per_ms) * 1000.0, b.room())
-        })
+        self.filled(now, budget).map_or((0.0, 0.0), |b| ((b.floor_per_ms + b.part_per_ms) * 1000.0, b.room()))
     }
 
-    fn bucket(&mut self, budget: BudgetId) -> Option<&mut Bucket> {
+    fn filled(&mut self, now: f64, budget: BudgetId) -> Option<&mut Bucket> {
         let at = self.buckets.binary_search_by_key(&budget, |b| b.id).ok()?;
-        self.buckets.get_mut(at)
+        let bucket = self.buckets.get_mut(at)?;
+        bucket.fill(now, self.pace);
+        Some(bucket)
     }
 }
 
--- /dev/null
+++ b/tests/shares_sim.rs
@@ -0,0 +1,143 @@
+//! The real reducers of a fleet under seeded faults on a virtual clock. `CORKREACH_SHARES_SEEDS=10000 cargo test --test
+//! shares_sim -- --ignored` runs as many seeds as it says; a failing one is named and replays exactly.
+
+use corkreach::shares::ShareSettings;
+use corkreach::shares::sim::{Faults, Fleet, SimSettings};
+use corkreach::terms::{Budget, BudgetId, Member, Spending};
+
+fn budget(id: u16, per_s: f64, burst: f64, floor: f64) -> Budget {
+    Budget {
+        id: BudgetId(id),
+        name: format!("b{id}"),
+        spending: Spending::SetUps,
+        server: None,
+        site: None,
+        class: None,
+        number_prefix: None,
+        per_s,
+        burst,
+        floor,
+    }
+}
+
+fn settings(members: u16, seed: u64) -> SimSettings {
+    let floor_burst = f64::from(members) * 5.0;
+    let budgets = vec![budget(0, 200.0, floor_burst, 0.25), budget(1, 20.0, 4.0, 0.0)];
+    SimSettings {
+        shares: ShareSettings {
+            members,
+            keepers: (0..if members >= 5 && seed % 2 == 1 { 5 } else { 3 }).map(Member).collect(),
+            lease_ms: 1000.0,
+            round_ms: 250.0,
+            drift: 0.02,
+            budgets,
+        },
+        seed,
+        journey_ms: (0.2, 4.0),
+        faults: Faults { drift: 0.02, ..Faults::default() },
+        traffic_ms: 20.0,
+    }
+}
+
+/// 10 to 20 s of faults, then calm; the breach, or what is not as it should be once all is calm.
+fn play(seed: u64) -> (Option<String>, u64) {
+    let members = 3 + (seed % 6) as u16;
+    let mut settings = settings(members, seed);
+    settings.faults = Faults {
+        loss: 0.02 * (seed % 11) as f64,
+        double: 0.1,
+        late: 0.05,
+        late_ms: 2500.0,
+        every_ms: 300.0 + 100.0 * (seed % 7) as f64,
+        drift: 0.02,
+    };
+    let whole: Vec<f64> = settings.shares.budgets.iter().map(|b| b.per_s * (1.0 - b.floor)).collect();
+    let mut fleet = Fleet::new(settings);
+    for node in 0..usize::from(members) {
+        let wants = 20.0 * ((seed >> (node % 8)) % 8) as f64;
+        fleet.demand(node, &[wants, wants / 4.0]);
+    }
+    fleet.run(12_000.0);
+    fleet.calm();
+    // A part on its way from one to another is nobody's for a moment: the most of three moments counts.
+    let mut held = vec![0.0f64; whole.len()];
+    for until in [18_500.0, 18_550.0, 18_600.0] {
+        fleet.run(until);
+        for (at, most) in held.iter_mut().enumerate() {
+            *most = most.max(fleet.held(BudgetId(at as u16), None));
+        }
+    }
+    if fleet.seen.breach.is_none() {
+        if fleet.grantors().len() != 1 {
+            return (Some(format!("seed {seed}: grantors in the calm: {:?}", fleet.grantors())), 0);
+        }
+        if let Some(at) = (0..whole.len()).find(|&at| held[at] < 0.95 * whole[at]) {
+            let (held, whole) = (held[at], whole[at]);
+            return (Some(format!("seed {seed}: {held} of {whole} held in the calm (budget {at})")), 0);
+        }
+    }
+    (fleet.seen.breach.clone(), fleet.seen.digest)
+}
+
+fn seeds(from: u64, to: u64) {
+    let failed: Vec<String> = std::thread::scope(|scope| {
+        let workers: Vec<_> = (0..4)
+            .map(|w| {
+                scope.spawn(move || (from + w..to).step_by(4).filter_map(|s| play(s).0).collect::<Vec<_>>())
+            })
+            .collect();
+        workers.into_iter().flat_map(|w| w.join().expect("worker")).collect()
+    });
+    assert!(failed.is_empty(), "{} failed, the first: {}", failed.len(), failed[0]);
+}
+
+#[test]
+fn no_fault_makes_parts_or_spendings_exceed_the_whole() {
+    seeds(0, 200);
+}
+
+#[test]
+#[ignore = "long: CORKREACH_SHARES_SEEDS says how many"]
+fn no_fault_in_many_seeds() {
+    let seeds_wanted = std::env::var("CORKREACH_SHARES_SEEDS").ok().and_then(|n| n.parse().ok());
+    seeds(1000, 1000 + seeds_wanted.unwrap_or(10_000));
+}
+
+#[test]
+fn a_seed_replays_exactly() {
+    assert_eq!(play(77), play(77));
+    assert_ne!(play(77).1, play(78).1);
+}
+
+#[test]
+fn clocks_beyond_the_bound_are_seen_to_break_it() {
+    // The checks can fail: with clocks thrice as far off as is allowed for, some part outlives its lease.
+    let breached = (0..40).any(|seed| {
+        let mut settings = settings(4, seed);
+        settings.faults = Faults {
+            loss: 0.1,
+            late: 0.05,
+            late_ms: 2500.0,
+            every_ms: 400.0,
+            drift: 0.4,
+            ..Faults::default()
+        };
+        let mut fleet = Fleet::new(settings);
+        (0..4).for_each(|node| fleet.demand(node, &[100.0, 10.0]));
+        fleet.run(12_000.0);
+        fleet.seen.breach.is_some()
+    });
+    assert!(breached);
+}
+
+#[test]
+fn a_thousand_members_share_a_budget() {
+    let mut settings = settings(1000, 5);
+    settings.traffic_ms = 200.0;
+    settings.faults.loss = 0.01;
+    let mut fleet = Fleet::new(settings);
+    (0..1000).for_each(|node| fleet.demand(node, &[1.0, 0.1]));
+    fleet.run(5000.0);
+    assert_eq!(fleet.seen.breach, None);
+    assert!(fleet.held(BudgetId(0), None) > 0.95 * 150.0, "{}", fleet.held(BudgetId(0), None));
+}
