--- a/src/lib.rs
+++ b/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod engine;
 pub mod fleet_audit;
 pub mod fronts;
+pub mod gather;
 pub mod interface;
 pub mod lab;
 pub mod limits;
