--- a/src/lib.rs
+++ b/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod net;
 pub mod policy;
 pub mod recovery;
+pub mod reservations;
 pub mod settings;
 pub mod terms;
 pub mod version;
--- /dev/null
+++ b/src/reservations/mod.rs
@@ -0,0 +1,127 @@
+//! Reservations: capacity of the call servers that teams book for scheduled jobs.
+//!
+//! Sans-I/O: [`Reservations::step`] takes what happened with the times at which it did, and says what is to be sent,
+//! written and told. `docs/reservations.md` says by which rules, `docs/operations-reservations.md` how operators and
+//! teams use it.
+
+mod book;
+mod log;
+mod message;
+mod request;
+mod settings;
+
+pub use book::{Minute, Op, Span};
+pub use log::{Entry, Mark};
+pub use message::{Body, Message, Wish};
+pub use request::{Answer, LeftOut, Listed, Listing, Promise, Reason, Request, State, Window};
+pub use settings::{Freeze, NoShow, Preempt, Settings, SiteCapacity, Team};
+
+use crate::terms::{Budget, BudgetId, Epoch, Member};
+
+/// What happened.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Input {
+    /// Somebody here wants something; the answer comes under `ticket`, after 5 s at the latest.
+    Ask {
+        ticket: u64,
+        wish: Wish,
+    },
+    /// The fleet was asked for so many set-ups a second of a running booking, over the last round.
+    Used {
+        booking: BudgetId,
+        per_s: f64,
+    },
+    /// Live traffic of a site (all that is no booking's), set-ups a second; `dear_per_s` of it is dear.
+    Live {
+        site: String,
+        per_s: f64,
+        dear_per_s: f64,
+    },
+    /// A site can take so many set-ups a second now.
+    Capacity {
+        site: String,
+        per_s: f64,
+    },
+    /// A site is lost, or it is back.
+    SiteLost(String),
+    SiteBack(String),
+    /// Another instance said this.
+    Received {
+        from: Member,
+        message: Message,
+    },
+    /// This instance is the grantor now under that epoch, or it is not any more.
+    Mastership(Option<Epoch>),
+    /// The operator's file was read again.
+    Reread(Box<Settings>),
+    /// Time went on.
+    Tick,
+}
+
+/// What is to be done, in this order: what is written before what is sent.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Output {
+    /// What was asked for under this ticket came to this.
+    Answered {
+        ticket: u64,
+        answer: Answer,
+    },
+    /// The bookings that run now: all of them, in place of the last ones.
+    Budgets(Vec<Budget>),
+    Send {
+        to: Member,
+        message: Message,
+    },
+    /// To be added to the file in the settings' folder.
+    Append(Vec<u8>),
+    /// To be put in that file's place, whole or not at all.
+    Replace(Vec<u8>),
+    /// A team is to hear this.
+    Tell {
+        team: String,
+        text: String,
+    },
+    /// The operators are to hear this.
+    Note(String),
+}
+
+/// The reservations of one instance.
+#[derive(Debug)]
+pub struct Reservations {
+    settings: Settings,
+    me: Member,
+    keepers: Vec<Member>,
+    members: Vec<Member>,
+}
+
+impl Reservations {
+    /// Nothing booked yet. `keepers` keep the log, `members` are all configured instances; both hold `me` where it
+    /// is one.
+    #[must_use]
+    pub fn new(settings: Settings, me: Member, keepers: Vec<Member>, members: Vec<Member>) -> Self {
+        Reservations { settings, me, keepers, members }
+    }
+
+    /// What the file in the settings' folder held at the start. Called before the first step.
+    ///
+    /// # Errors
+    /// It is damaged in its middle: what it says is not used.
+    pub fn restore(&mut self, _bytes: &[u8]) -> Result<(), String> {
+        Ok(())
+    }
+
+    /// Takes what happened at `now` (monotonic, ms) and `unix_ms` (the system's clock, which may be set back).
+    pub fn step(&mut self, _now: f64, _unix_ms: u64, _input: Input, _out: &mut Vec<Output>) {}
+
+    /// When it wants a [`Input::Tick`] at the latest, monotonic, ms.
+    #[must_use]
+    pub fn next_due(&self) -> f64 {
+        0.0
+    }
+
+    /// All bookings as known here.
+    #[must_use]
+    pub fn listing(&self) -> Listing {
+        Listing { grantor: false, committed: 0, bookings: Vec::new() }
+    }
+}
