--- a/src/reservations/mod.rs
+++ b/src/reservations/mod.rs
@@ -5,12 +5,25 @@
 //! teams use it.
 
 mod book;
+mod calendar;
+mod clock;
+mod host;
+mod index;
 mod log;
 mod message;
+mod pages;
+mod replica;
 mod request;
+mod rules;
+mod running;
 mod settings;
+mod store;
+#[cfg(test)]
+mod tests;
 
-pub use book::{Minute, Op, Span};
+pub use book::{Minute, Op, Placed, Span};
+pub use host::Reservations;
+pub use index::{Index, Milli, milli};
 pub use log::{Entry, Mark};
 pub use message::{Body, Message, Wish};
 pub use request::{Answer, LeftOut, Listed, Listing, Promise, Reason, Request, State, Window};
@@ -84,44 +97,3 @@
     /// The operators are to hear this.
     Note(String),
 }
-
-/// The reservations of one instance.
-#[derive(Debug)]
-pub struct Reservations {
-    settings: Settings,
-    me: Member,
-    keepers: Vec<Member>,
-    members: Vec<Member>,
-}
-
-impl Reservations {
-    /// Nothing booked yet. `keepers` keep the log, `members` are all configured instances; both hold `me` where it
-    /// is one.
-    #[must_use]
-    pub fn new(settings: Settings, me: Member, keepers: Vec<Member>, members: Vec<Member>) -> Self {
-        Reservations { settings, me, keepers, members }
-    }
-
-    /// What the file in the settings' folder held at the start. Called before the first step.
-    ///
-    /// # Errors
-    /// It is damaged in its middle: what it says is not used.
-    pub fn restore(&mut self, _bytes: &[u8]) -> Result<(), String> {
-        Ok(())
-    }
-
-    /// Takes what happened at `now` (monotonic, ms) and `unix_ms` (the system's clock, which may be set back).
-    pub fn step(&mut self, _now: f64, _unix_ms: u64, _input: Input, _out: &mut Vec<Output>) {}
-
-    /// When it wants a [`Input::Tick`] at the latest, monotonic, ms.
-    #[must_use]
-    pub fn next_due(&self) -> f64 {
-        0.0
-    }
-
-    /// All bookings as known here.
-    #[must_use]
-    pub fn listing(&self) -> Listing {
-        Listing { grantor: false, committed: 0, bookings: Vec::new() }
-    }
-}
--- a/src/reservations/request.rs
+++ b/src/reservations/request.rs
@@ -210,6 +210,8 @@
     pub next: Option<Window>,
     /// Windows not over yet.
     pub left: u32,
+    /// Windows that another's booking took.
+    pub preempted: Vec<Window>,
     /// What it has now, set-ups a second; 0 unless it runs.
     pub granted_per_s: f64,
     /// Why that is less than booked.
--- /dev/null
+++ b/src/reservations/running.rs
@@ -0,0 +1,188 @@
+//! What running bookings have now: less where the job does not come, and less where sites are lost or can take less.
+
+use super::book::{Book, Minute, Span};
+use super::settings::{NoShow, Settings};
+use crate::terms::{Budget, BudgetId, Spending};
+use std::collections::BTreeMap;
+
+/// What is known of a site now.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Site {
+    /// What it can take, set-ups a second, if that was told.
+    pub capacity: Option<f64>,
+    pub lost: bool,
+    /// Dear live traffic there, set-ups a second.
+    pub dear: f64,
+}
+
+/// A booking in one of its windows.
+#[derive(Clone, Debug)]
+struct Run {
+    span: Span,
+    /// Place in the settings' steps of what it keeps.
+    step: usize,
+    /// Since when it has used little, or enough for a step up, ms.
+    low_since: Option<f64>,
+    high_since: Option<f64>,
+    granted: f64,
+    cut: Option<String>,
+}
+
+/// A team is to hear this about its booking.
+#[derive(Clone, Debug, PartialEq)]
+pub struct News {
+    pub slot: u16,
+    pub text: String,
+}
+
+/// See the module.
+#[derive(Debug, Default)]
+pub struct Running {
+    runs: BTreeMap<u16, Run>,
+}
+
+impl Running {
+    /// What a booking has now, and why that is less than booked.
+    #[must_use]
+    pub fn granted(&self, slot: u16) -> (f64, Option<String>) {
+        self.runs.get(&slot).map_or((0.0, None), |r| (r.granted, r.cut.clone()))
+    }
+
+    /// The fleet was asked for so many set-ups a second of a booking. One that is never told of keeps all.
+    pub fn used(
+        &mut self,
+        book: &Book,
+        rule: &NoShow,
+        slot: u16,
+        per_s: f64,
+        now: f64,
+        news: &mut Vec<News>,
+    ) {
+        let (Some(run), Some(booking)) = (self.runs.get_mut(&slot), book.bookings().get(&slot)) else {
+            return;
+        };
+        let booked = booking.request.per_s;
+        let full = rule.steps.len() - 1;
+        if per_s < rule.used_share * booked {
+            let since = *run.low_since.get_or_insert(now);
+            if now - since >= rule.grace_s * 1000.0 && run.step > 0 {
+                run.step = 0;
+                let kept = rule.steps[0] * booked;
+                let text = format!("used {per_s:.1} of {booked} set-ups a second: {kept:.1} are kept");
+                news.push(News { slot, text });
+            }
+        } else {
+            run.low_since = None;
+        }
+        let enough = per_s >= (0.5 * rule.steps[run.step.min(full)]).max(rule.used_share) * booked;
+        if run.step >= full || !enough {
+            run.high_since = None;
+        } else if now - *run.high_since.get_or_insert(now) >= rule.step_s * 1000.0 {
+            (run.step, run.high_since) = (run.step + 1, Some(now));
+            let back = rule.steps[run.step] * booked;
+            news.push(News { slot, text: format!("the job came: it has {back:.1} set-ups a second") });
+        }
+    }
+
+    /// The budgets of the bookings that run at `at`.
+    pub fn budgets(
+        &mut self,
+        book: &Book,
+        settings: &Settings,
+        sites: &BTreeMap<String, Site>,
+        at: Minute,
+        news: &mut Vec<News>,
+    ) -> Vec<Budget> {
+        let full = settings.no_show.steps.len() - 1;
+        let mut order = Vec::new();
+        for (&slot, booking) in book.bookings() {
+            let Some(span) = booking.running(at).filter(|_| booking.held_until == 0) else {
+                self.runs.remove(&slot);
+                continue;
+            };
+            let new = Run { span, step: full, low_since: None, high_since: None, granted: 0.0, cut: None };
+            let run = self.runs.entry(slot).or_insert_with(|| new.clone());
+            if run.span.start != span.start {
+                *run = new;
+            }
+            // Highest priority first; of two with the same, the earlier promise.
+            order.push((std::cmp::Reverse(booking.request.priority), booking.order, slot));
+        }
+        self.runs.retain(|slot, _| book.bookings().contains_key(slot));
+        order.sort_unstable();
+        let mut room = Room::new(settings, sites);
+        for (.., slot) in order {
+            let (Some(run), Some(booking)) = (self.runs.get_mut(&slot), book.bookings().get(&slot)) else {
+                continue;
+            };
+            let kept = settings.no_show.steps[run.step.min(full)] * booking.request.per_s;
+            let (granted, cut) = room.grant(booking.request.site.as_deref(), kept);
+            if cut.is_some() != run.cut.is_some() {
+                let text = match &cut {
+                    Some(why) => format!("{why}: {granted:.1} of {kept:.1} set-ups a second are kept"),
+                    None => format!("it has {granted:.1} set-ups a second again"),
+                };
+                news.push(News { slot, text });
+            }
+            (run.granted, run.cut) = (granted, cut);
+        }
+        self.runs.iter().filter_map(|(slot, run)| budget(book, settings, *slot, run)).collect()
+    }
+}
+
+fn budget(book: &Book, settings: &Settings, slot: u16, run: &Run) -> Option<Budget> {
+    let request = &book.bookings().get(&slot)?.request;
+    Some(Budget {
+        id: BudgetId(BudgetId::BOOKED.checked_add(slot)?),
+        name: format!("{}/{}", request.team, request.id),
+        spending: Spending::SetUps,
+        server: None,
+        site: request.site.clone(),
+        class: Some(request.class.clone()),
+        number_prefix: request.number_prefix.clone(),
+        per_s: run.granted,
+        burst: run.granted * settings.burst_s,
+        floor: settings.floor,
+    })
+}
+
+/// Room for bookings where sites are lost or can take less than they are set to; elsewhere it has no bound, as what
+/// was promised was fitted to the settings' capacity.
+struct Room {
+    sites: BTreeMap<String, f64>,
+    /// Room of all sites, if any of them is short.
+    whole: f64,
+}
+
+impl Room {
+    fn new(settings: &Settings, now: &BTreeMap<String, Site>) -> Room {
+        let (mut sites, mut whole, mut short) = (BTreeMap::new(), 0.0, false);
+        for site in &settings.sites {
+            let told = now.get(&site.name).copied().unwrap_or_default();
+            let capacity = if told.lost { 0.0 } else { told.capacity.unwrap_or(site.per_s).min(site.per_s) };
+            // Dear live traffic goes first; that of a lost site lands on the others.
+            whole += capacity - told.dear;
+            if capacity < site.per_s {
+                short = true;
+                sites.insert(site.name.clone(), (capacity - told.dear).max(0.0));
+            }
+        }
+        Room { sites, whole: if short { whole.max(0.0) } else { f64::INFINITY } }
+    }
+
+    /// As much of what is wanted as there is room for, and why it is less.
+    fn grant(&mut self, site: Option<&str>, wanted: f64) -> (f64, Option<String>) {
+        let at_site = site.and_then(|site| self.sites.get_mut(site));
+        let least = at_site.as_ref().map_or(f64::INFINITY, |room| **room).min(self.whole);
+        let granted = wanted.min(least);
+        if let Some(room) = at_site {
+            *room -= granted;
+        }
+        self.whole -= granted;
+        let cut = (granted < wanted).then(|| match site.filter(|s| self.sites.contains_key(*s)) {
+            Some(site) => format!("site {site} can take less"),
+            None => "the fleet can take less".to_owned(),
+        });
+        (granted, cut)
+    }
+}
