--- a/src/reservations/mod.rs
+++ b/src/reservations/mod.rs
@@ -6,6 +6,8 @@
 
 mod book;
 mod calendar;
+#[cfg(test)]
+mod calendar_tests;
 mod clock;
 mod host;
 mod index;
--- a/src/reservations/replica.rs
+++ b/src/reservations/replica.rs
@@ -240,7 +240,7 @@
         if remember < majority && !all && !waited {
             return;
         }
-        if remember < majority && remember > 0 || remember < majority && !all {
+        if remember < majority && (remember > 0 || !all) {
             out.push(Did::Note(format!(
                 "of {} keepers only {remember} remember their bookings: some may be lost",
                 self.keepers.len()
--- a/src/reservations/tests.rs
+++ b/src/reservations/tests.rs
@@ -14,15 +14,15 @@
 preempt: {from_priority: 8, margin: 2}
 ";
 
-fn settings() -> Settings {
+pub(super) fn settings() -> Settings {
     Settings::parse(YAML).unwrap()
 }
 
-fn minute_of(text: &str) -> Minute {
+pub(super) fn minute_of(text: &str) -> Minute {
     u32::try_from(chrono::DateTime::parse_from_rfc3339(text).unwrap().timestamp() / 60).unwrap()
 }
 
-fn job(team: &str, id: &str, start: &str, minutes: u32, per_s: f64) -> Request {
+pub(super) fn job(team: &str, id: &str, start: &str, minutes: u32, per_s: f64) -> Request {
     Request {
         id: id.into(),
         team: team.into(),
@@ -163,7 +163,7 @@
     }
 }
 
-fn reason(answer: &Answer) -> Reason {
+pub(super) fn reason(answer: &Answer) -> Reason {
     match answer {
         Answer::Refused { reason, .. } => *reason,
         other => panic!("{other:?}"),
