--- a/src/lib.rs
+++ b/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod net;
 pub mod policy;
 pub mod recovery;
+pub mod reservations;
 pub mod settings;
 pub mod shares;
 pub mod terms;
