--- /dev/null
+++ b/src/control/mod.rs
@@ -0,0 +1,2 @@
+pub mod settings;
+pub mod wire;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod audit;
 pub mod codec;
 pub mod config;
+pub mod control;
 pub mod engine;
 pub mod fleet_audit;
 pub mod fronts;
