--- a/src/engine/calls.rs
+++ b/src/engine/calls.rs
@@ -1,9 +1,11 @@
 //! Calls and their attempts: from the set-up to the one final answer, and to the release of what stood.
 
+use super::shares::Payment;
 use super::{CallerConn, Due, Effect, Engine, Fault, ServerConn, SetUp, ToCaller, ToServer};
 use crate::audit::Decision;
 use crate::interface::{self as module, CallId, LoadReport, Outcome, ServerId};
 use crate::settings::ClassRules;
+use crate::terms::Spending;
 use std::collections::{BTreeMap, HashSet, VecDeque};
 
 /// The module answers before the caller's time is over; if it has not this long after, the engine does, ms.
@@ -45,7 +47,7 @@
     /// It got its final answer, or is owed none.
     pub(super) answered: bool,
     pub(super) attempts: u32,
-    /// Of these, the ones that the fleet limits let through.
+    /// Of these, the ones that the fleet limits and budgets let through.
     weighed: u32,
     pub(super) attempt: Option<Attempt>,
     pub(super) guard_until: f64,
@@ -337,16 +339,19 @@
             return self.tell_ended(id, server, Outcome::NotSent, false, LoadReport::default());
         };
         let number = call.attempts;
-        if self.limits.is_some() && self.fleet.is_down(server) {
+        let paced = self.limits.is_some() || self.shares.as_ref().is_some_and(super::shares::Parts::pace_dials);
+        if paced && self.fleet.is_down(server) {
             // It is dialled at its turn in the fleet's pacing, not for each call that tries its luck there.
             call.attempts += 1;
             return self.tell_ended(id, server, Outcome::NotConnected, false, LoadReport::default());
         }
+        let worth = self.worths.get(call.class).copied().unwrap_or_default();
+        let first = call.weighed == 0;
         if let Some(limits) = self.limits.as_mut() {
-            let worth = self.worths.get(call.class).copied().unwrap_or_default();
-            let shed = match call.weighed {
-                0 => !limits.admits_first(worth, now),
-                _ => !limits.may_retry(server, worth, now, self.siblings),
+            let shed = if first {
+                !limits.admits_first(worth, now)
+            } else {
+                !limits.may_retry(server, worth, now, self.siblings)
             };
             if shed {
                 // The budget of second attempts at this call server is spent, or a first one is of too little worth
@@ -356,11 +361,28 @@
                 self.tell_ended(id, server, Outcome::NotSent, true, LoadReport::default());
                 return self.answer(id, ToCaller::Refused { call: id, stay_away_ms }, out);
             }
-            if call.weighed == 0 {
-                limits.first_sent(server, now);
+        }
+        if let (Some(shares), Some(s)) = (self.shares.as_mut(), self.fleet.servers.get(&server)) {
+            let payment = Payment {
+                spending: if first { Spending::SetUps } else { Spending::SecondAttempts },
+                server: &s.listing.name,
+                site: s.listing.zone.as_deref(),
+                class: self.host.classes.get(call.class).map(|c| c.name.as_str()),
+                number: call.number.as_deref(),
+                worth,
+            };
+            let room = first || shares.has_room(self.controller.share_refused(now, server));
+            if !room || !shares.pays(&payment) {
+                let stay_away_ms = shares.stay_away_ms(self.stay_away_max_ms);
+                log::debug!("call {:016x}: attempt {number} finds no budget of the fleet's", id.0);
+                self.tell_ended(id, server, Outcome::NotSent, true, LoadReport::default());
+                return self.answer(id, ToCaller::Refused { call: id, stay_away_ms }, out);
             }
-            call.weighed += 1;
         }
+        if let Some(limits) = self.limits.as_mut().filter(|_| first) {
+            limits.first_sent(server, now);
+        }
+        call.weighed += 1;
         call.attempts += 1;
         call.attempt = Some(Attempt { number, server, sent_at: now, stage: Stage::Waiting });
         self.decided(id, out, || {
--- a/src/engine/fleet.rs
+++ b/src/engine/fleet.rs
@@ -208,6 +208,7 @@
         self.end_waiting(id, Outcome::NotSent);
         self.fleet.servers.remove(&id);
         self.fleet.ids.retain(|_, known| *known != id);
+        self.forget_dials(id);
         if let Some(limits) = self.limits.as_mut() {
             limits.forget(id);
         }
@@ -225,9 +226,11 @@
     }
 
     pub(super) fn dial(&mut self, server: ServerId, out: &mut Vec<Effect>) {
-        let Some(s) = self.fleet.servers.get_mut(&server).filter(|s| s.conns.len() < CONNS_MAX) else {
+        let room = self.fleet.servers.get(&server).is_some_and(|s| s.conns.len() < CONNS_MAX);
+        if !room || !self.may_dial(server) {
             return;
-        };
+        }
+        let Some(s) = self.fleet.servers.get_mut(&server) else { return };
         self.fleet.dialled += 1;
         let conn = ServerConn(self.fleet.dialled);
         let (now, passed) = (self.now, f64::NEG_INFINITY);
--- a/src/engine/messages.rs
+++ b/src/engine/messages.rs
@@ -80,6 +80,8 @@
     pub limits: Option<crate::limits::Shed>,
     /// The sites, where there is a plan for their loss.
     pub recovery: Option<crate::recovery::RecoveryFigures>,
+    /// This instance's parts of the fleet's budgets, where there are some.
+    pub shares: Option<super::ShareFigures>,
 }
 
 /// A set-up as its caller sent it.
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -12,9 +12,11 @@
 mod messages;
 mod operators;
 mod recovery;
+mod shares;
 mod timers;
 
 pub use messages::*;
+pub use shares::{BudgetFigures, ShareFigures};
 
 use crate::audit::{Decision, Record};
 use crate::interface::{self as module, Action, CallId, Outcome, ServerId, Settings};
@@ -75,6 +77,8 @@
     /// The plan for the loss of a site, where the operator's file has one, and when its next turn is due.
     recovery: Option<Recovery>,
     sites_turn: Option<f64>,
+    /// This instance's parts of the fleet's budgets, where the operator's file has some.
+    shares: Option<shares::Parts>,
     callers: Callers,
     calls: Calls,
     fleet: Fleet,
@@ -113,6 +117,7 @@
             limits: None,
             recovery: None,
             sites_turn: None,
+            shares: None,
             controller: Controller::new(settings, seed, now),
             host,
             callers: Callers::default(),
--- a/src/engine/operators.rs
+++ b/src/engine/operators.rs
@@ -75,7 +75,8 @@
         self.fleet.serial.unwrap_or(0)
     }
 
-    fn figures(&self) -> Figures {
+    fn figures(&mut self) -> Figures {
+        let shares = self.share_figures();
         let outcomes = |(i, class): (usize, &crate::settings::ClassRules)| {
             (class.name.clone(), self.outcomes.get(i).copied().unwrap_or_default())
         };
@@ -87,6 +88,7 @@
             skipped: self.fleet.ids_listed().filter(|&id| self.skips(id)).count(),
             limits: self.limits.as_ref().map(crate::limits::Limits::shed),
             recovery: self.recovery.as_ref().map(crate::recovery::Recovery::figures),
+            shares,
         }
     }
 
--- /dev/null
+++ b/src/net/control.rs
@@ -0,0 +1,227 @@
+//! The control plane's thread: it turns the reducer (`crate::control`) on a monotonic clock of its own, hears the
+//! peers' socket's control datagrams through a bounded queue, and publishes what was decided for the traffic side.
+//! The traffic side never waits for it: a thread that is dead, stuck or slow only lets its parts lapse.
+
+use super::peers::Sender;
+use crate::control::{Control, ControlFigures, ControlSettings, Effect, Event, Place, floor_of};
+use crate::shares::Exchange;
+use crate::terms::{Budget, Member, Part};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::{Receiver, RecvTimeoutError, SyncSender, sync_channel};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// Datagrams that may wait for the thread; more are dropped, as the network might.
+const QUEUE: usize = 512;
+/// The thread looks so often whether the process is to stop.
+const LOOK: Duration = Duration::from_millis(50);
+/// It wakes no sooner than this, whatever it is asked to.
+const LEAST_WAIT: Duration = Duration::from_millis(1);
+
+/// The process's monotonic clock, the same for both threads, ms.
+#[derive(Clone, Copy, Debug)]
+pub struct Monotonic(Instant);
+
+impl Monotonic {
+    #[must_use]
+    pub fn start() -> Self {
+        Monotonic(Instant::now())
+    }
+
+    #[must_use]
+    pub fn now(&self) -> f64 {
+        self.0.elapsed().as_secs_f64() * 1000.0
+    }
+}
+
+/// The control plane as it lies ready for its socket: what the driver hands to the traffic side and to the peers.
+pub struct Ready {
+    settings: ControlSettings,
+    place: Place,
+    clock: Monotonic,
+    exchange: Arc<Exchange>,
+    queue: (SyncSender<(u16, Vec<u8>)>, Receiver<(u16, Vec<u8>)>),
+}
+
+/// The running control plane, from the traffic side.
+pub struct Handle {
+    leaving: Arc<AtomicBool>,
+    figures: Arc<Mutex<ControlFigures>>,
+}
+
+impl Handle {
+    /// The process stops: what it holds goes back at once. Does not wait.
+    pub fn leave(&self) {
+        self.leaving.store(true, Ordering::Relaxed);
+    }
+
+    /// As they were at most a round ago.
+    #[must_use]
+    pub fn figures(&self) -> ControlFigures {
+        *self.figures.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Ready {
+    /// The control plane of this process under these settings.
+    ///
+    /// # Errors
+    /// They do not fit a fleet of this size.
+    pub fn new(settings: ControlSettings, place: Place, clock: Monotonic) -> Result<Self, String> {
+        settings.check_fleet(place.members)?;
+        // Checks what the division asks of its settings.
+        Control::new(&settings, &place, clock.now())?;
+        let exchange = Arc::new(Exchange::new(&settings.budgets()));
+        Ok(Ready { settings, place, clock, exchange, queue: sync_channel(QUEUE) })
+    }
+
+    #[must_use]
+    pub fn exchange(&self) -> Arc<Exchange> {
+        self.exchange.clone()
+    }
+
+    /// Where the socket puts control datagrams, with the sender's place.
+    #[must_use]
+    pub fn queue(&self) -> SyncSender<(u16, Vec<u8>)> {
+        self.queue.0.clone()
+    }
+
+    /// Starts the thread, which sends by `sender`.
+    ///
+    /// # Errors
+    /// No thread could be started.
+    pub fn start(self, sender: Sender) -> Result<Handle, String> {
+        let (leaving, figures) = (Arc::new(AtomicBool::new(false)), Arc::default());
+        let handle = Handle { leaving: Arc::clone(&leaving), figures: Arc::clone(&figures) };
+        let thread = Thread::new(self, sender, leaving, figures)?;
+        let builder = std::thread::Builder::new().name("control".to_owned());
+        builder.spawn(move || thread.run()).map_err(|e| format!("control thread: {e}"))?;
+        Ok(handle)
+    }
+}
+
+struct Thread {
+    control: Control,
+    budgets: Vec<Budget>,
+    round_ms: f64,
+    clock: Monotonic,
+    exchange: Arc<Exchange>,
+    sender: Sender,
+    heard: Receiver<(u16, Vec<u8>)>,
+    leaving: Arc<AtomicBool>,
+    left: bool,
+    figures: Arc<Mutex<ControlFigures>>,
+    /// As last logged.
+    parts: Vec<Part>,
+    demand_read: f64,
+    effects: Vec<Effect>,
+}
+
+impl Thread {
+    fn new(
+        ready: Ready,
+        sender: Sender,
+        leaving: Arc<AtomicBool>,
+        figures: Arc<Mutex<ControlFigures>>,
+    ) -> Result<Self, String> {
+        let Ready { settings, place, clock, exchange, queue } = ready;
+        let now = clock.now();
+        let budgets = settings.budgets();
+        for budget in &budgets {
+            let (per_s, burst) = floor_of(budget, place.members);
+            log::info!(target: "control", budget = budget.name.as_str(), per_s, burst; "floor");
+        }
+        Ok(Thread {
+            control: Control::new(&settings, &place, now)?,
+            budgets,
+            round_ms: settings.round_ms,
+            clock,
+            exchange,
+            sender,
+            heard: queue.1,
+            leaving,
+            left: false,
+            figures,
+            parts: Vec::new(),
+            demand_read: now,
+            effects: Vec::new(),
+        })
+    }
+
+    fn run(mut self) {
+        loop {
+            let due = self.control.next_due().min(self.demand_read + self.round_ms) - self.clock.now();
+            let wait = Duration::from_secs_f64(due.clamp(0.0, 1000.0) / 1000.0).clamp(LEAST_WAIT, LOOK);
+            match self.heard.recv_timeout(wait) {
+                Ok((from, bytes)) => self.step(Event::Datagram { from: Member(from), bytes }),
+                Err(RecvTimeoutError::Timeout) => {}
+                // The socket is gone, and so soon is the process.
+                Err(RecvTimeoutError::Disconnected) => return,
+            }
+            if self.leaving.load(Ordering::Relaxed) && !self.left {
+                self.left = true;
+                self.step(Event::Leave);
+            }
+            self.read_demand();
+            if self.clock.now() >= self.control.next_due() {
+                self.step(Event::Tick);
+            }
+        }
+    }
+
+    fn read_demand(&mut self) {
+        let now = self.clock.now();
+        let elapsed = now - self.demand_read;
+        if elapsed >= self.round_ms {
+            self.demand_read = now;
+            let (demand, _) = self.exchange.demands(elapsed);
+            self.step(Event::Demand(demand));
+            *self.figures.lock().unwrap_or_else(PoisonError::into_inner) = self.control.figures();
+        }
+    }
+
+    fn step(&mut self, event: Event) {
+        let now = self.clock.now();
+        let mut effects = std::mem::take(&mut self.effects);
+        self.control.step(now, event, &mut effects);
+        for effect in effects.drain(..) {
+            match effect {
+                Effect::Send { to, bytes } => {
+                    // What the socket does not take now is lost, as on the way.
+                    self.sender.to(to.0, &bytes);
+                }
+                Effect::Parts(parts) => {
+                    self.exchange.publish(parts.clone());
+                    self.log(parts);
+                }
+                Effect::Mastership(epoch) => {
+                    let grants = epoch.is_some();
+                    log::info!(target: "control", grants, epoch = epoch.map_or(0, |e| e.0); "mastership");
+                }
+                Effect::Note(text) => log::info!(target: "control", "{text}"),
+            }
+        }
+        self.effects = effects;
+    }
+
+    /// One line for each part that changed: at `info` if its figures did, else at `debug`, as it was only renewed.
+    /// `until` is Unix ms, by which the parts of several processes can be summed at one time.
+    fn log(&mut self, parts: Vec<Part>) {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64() * 1000.0;
+        let offset = unix - self.clock.now();
+        for budget in &self.budgets {
+            let of = |parts: &[Part]| parts.iter().find(|p| p.budget == budget.id).copied().unwrap_or_default();
+            let (old, new) = (of(&self.parts), of(&parts));
+            if old == new {
+                continue;
+            }
+            let changed = (old.per_s, old.burst) != (new.per_s, new.burst);
+            let level = if changed { log::Level::Info } else { log::Level::Debug };
+            // Rounded up: no part is told shorter than it is.
+            let until = if new.until > 0.0 { (new.until + offset).ceil() } else { 0.0 };
+            log::log!(target: "control", level, budget = budget.name.as_str(), per_s = new.per_s, burst = new.burst,
+                until = until, epoch = new.epoch.0; "part");
+        }
+        self.parts = parts;
+    }
+}
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -636,6 +636,14 @@
         self.servers.get(&id).is_none_or(|s| s.silent(now) || !self.open(now, id, s))
     }
 
+    /// The share of first set-ups that is refused at a server now; all where it gets nothing.
+    pub fn share_refused(&self, now: f64, id: ServerId) -> f64 {
+        match self.servers.get(&id) {
+            Some(s) if self.open(now, id, s) => self.refused_share(now, s),
+            _ => 1.0,
+        }
+    }
+
     /// The longest wait in a line that serves anyone: beyond it set-ups are repeated, or stand too late, as
     /// the answer may wait in the same line once more.
     fn useful_wait_ms(&self) -> f64 {
