--- a/src/engine/operators.rs
+++ b/src/engine/operators.rs
@@ -89,6 +89,7 @@
             limits: self.limits.as_ref().map(crate::limits::Limits::shed),
             recovery: self.recovery.as_ref().map(crate::recovery::Recovery::figures),
             shares,
+            peers: self.peer_figures(),
         }
     }
 
