--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -49,7 +49,10 @@
 /// What is to be done, in this order: parts are in force before what follows is sent.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Effect {
-    Send { to: Member, bytes: Vec<u8> },
+    Send {
+        to: Member,
+        bytes: Vec<u8>,
+    },
     /// This instance's own parts, all of them.
     Parts(Vec<Part>),
     /// This instance grants from now on, under this epoch, or no longer.
@@ -110,7 +113,9 @@
     pub fn step(&mut self, now: f64, event: Event, out: &mut Vec<Effect>) {
         let input = match event {
             Event::Datagram { from, bytes } => {
-                let Some((from, Body::Shares(message))) = self.envelope.open(now, Some(from), &bytes) else { return };
+                let Some((from, Body::Shares(message))) = self.envelope.open(now, Some(from), &bytes) else {
+                    return;
+                };
                 self.figures.heard += 1;
                 Input::Heard { from, message }
             }
--- a/src/control/settings.rs
+++ b/src/control/settings.rs
@@ -85,7 +85,8 @@
     fn try_from(text: String) -> Result<Self, String> {
         let digits: Option<Vec<u8>> =
             text.trim().chars().map(|c| c.to_digit(16).and_then(|d| u8::try_from(d).ok())).collect();
-        let digits = digits.filter(|d| d.len() % 2 == 0).ok_or("key: hexadecimal digits are wanted, two a byte")?;
+        let digits =
+            digits.filter(|d| d.len() % 2 == 0).ok_or("key: hexadecimal digits are wanted, two a byte")?;
         let bytes: Vec<u8> = digits.chunks(2).map(|pair| pair[0] << 4 | pair[1]).collect();
         if bytes.len() < KEY_LEAST {
             return Err(format!("key: {} bytes are given, at least {KEY_LEAST} are wanted", bytes.len()));
@@ -158,12 +159,12 @@
         let mut keepers = self.keepers.clone();
         keepers.sort_unstable();
         keepers.dedup();
-        if keepers.len() != self.keepers.len() || !matches!(keepers.len(), 1 | 3 | 5) {
-            return Err("keepers: one, three or five different instances are wanted".to_owned());
+        if keepers.len() != self.keepers.len() || !matches!(keepers.len(), 3 | 5) {
+            return Err("keepers: three or five different instances are wanted".to_owned());
         }
         let ranges = [
-            ("lease_ms", self.lease_ms, 100.0, 60_000.0),
-            ("round_ms", self.round_ms, 20.0, 10_000.0),
+            ("lease_ms", self.lease_ms, 300.0, 60_000.0),
+            ("round_ms", self.round_ms, 100.0, 10_000.0),
             ("drift", self.drift, 0.0, 0.05),
         ];
         if let Some((name, value, least, most)) =
@@ -183,7 +184,10 @@
             }
             let rate = |value: f64| value.is_finite() && (0.0..=1e9).contains(&value);
             if !rate(b.per_s) || !b.burst.is_none_or(rate) || !(0.0..=1.0).contains(&b.floor) {
-                return Err(format!("budget {}: per_s and burst of 0 or more, floor of 0 to 1 are wanted", b.name));
+                return Err(format!(
+                    "budget {}: per_s and burst of 0 or more, floor of 0 to 1 are wanted",
+                    b.name
+                ));
             }
             if b.spend == Spend::Dials && b.class.is_some() {
                 return Err(format!("budget {}: dials are of no class", b.name));
@@ -211,7 +215,10 @@
     #[test]
     fn the_shipped_file_reads_and_says_what_it_says() {
         let settings = ControlSettings::parse(include_str!("../../deploy/control.yaml")).unwrap();
-        assert_eq!((settings.keepers.as_slice(), settings.lease_ms, settings.round_ms), (&[0, 1, 2][..], 3000.0, 500.0));
+        assert_eq!(
+            (settings.keepers.as_slice(), settings.lease_ms, settings.round_ms),
+            (&[0, 1, 2][..], 3000.0, 500.0)
+        );
         assert!(settings.check_fleet(3).is_ok() && settings.check_fleet(2).is_err());
         assert!(settings.budgets().iter().any(|b| b.spending == Spending::SetUps && b.per_s > 0.0));
     }
--- a/src/control/wire.rs
+++ b/src/control/wire.rs
@@ -94,7 +94,15 @@
         // A key of any length is taken.
         let key = key.and_then(|key| Hmac::<Sha256>::new_from_slice(key).ok());
         let (seen, dropped) = (HashMap::new(), Dropped::default());
-        Envelope { me, incarnation, sequence: 0, key, forgotten_ms: FORGOTTEN_LEASES * lease_ms, seen, dropped }
+        Envelope {
+            me,
+            incarnation,
+            sequence: 0,
+            key,
+            forgotten_ms: FORGOTTEN_LEASES * lease_ms,
+            seen,
+            dropped,
+        }
     }
 
     /// What was not taken so far.
@@ -130,7 +138,12 @@
 
     /// The sender and body of a datagram heard at `now`, ms on the monotonic clock; none if it is not taken, and why is
     /// counted. `from`: whose address it came from, if that is known.
-    pub fn open<B: DeserializeOwned>(&mut self, now: f64, from: Option<Member>, bytes: &[u8]) -> Option<(Member, B)> {
+    pub fn open<B: DeserializeOwned>(
+        &mut self,
+        now: f64,
+        from: Option<Member>,
+        bytes: &[u8],
+    ) -> Option<(Member, B)> {
         match self.try_open(now, from, bytes) {
             Ok(opened) => Some(opened),
             Err(reason) => {
@@ -223,7 +236,11 @@
         let dropped = to.dropped();
         assert_eq!(dropped.version, 1);
         assert!(dropped.code > 20 && dropped.malformed > 3 && dropped.replayed == 0, "{dropped:?}");
-        assert_eq!(to.open::<u32>(0.0, Some(Member(3)), &good), Some((Member(3), 7)), "nothing of these stuck");
+        assert_eq!(
+            to.open::<u32>(0.0, Some(Member(3)), &good),
+            Some((Member(3), 7)),
+            "nothing of these stuck"
+        );
     }
 
     #[test]
@@ -245,7 +262,10 @@
     #[test]
     fn no_datagram_is_longer_than_agreed() {
         let (mut from, _) = pair(Some(KEY));
-        assert_eq!(from.seal(&[7u8; BODY_MOST].as_slice().to_vec()[..BODY_MOST - 2].to_vec()).unwrap().len(), 256);
+        assert_eq!(
+            from.seal(&[7u8; BODY_MOST].as_slice().to_vec()[..BODY_MOST - 2].to_vec()).unwrap().len(),
+            256
+        );
         assert!(from.seal(&vec![7u8; BODY_MOST]).is_err());
     }
 }
--- a/src/engine/calls.rs
+++ b/src/engine/calls.rs
@@ -339,7 +339,8 @@
             return self.tell_ended(id, server, Outcome::NotSent, false, LoadReport::default());
         };
         let number = call.attempts;
-        let paced = self.limits.is_some() || self.shares.as_ref().is_some_and(super::shares::Parts::pace_dials);
+        let paced =
+            self.limits.is_some() || self.shares.as_ref().is_some_and(super::shares::Parts::pace_dials);
         if paced && self.fleet.is_down(server) {
             // It is dialled at its turn in the fleet's pacing, not for each call that tries its luck there.
             call.attempts += 1;
--- a/src/engine/shares.rs
+++ b/src/engine/shares.rs
@@ -99,7 +99,8 @@
     fn look(&mut self) {
         let Some(news) = self.exchange.news(&mut self.seen) else { return };
         if !Arc::ptr_eq(&news.budgets, &self.budgets) {
-            let kept = |b: &Budget| self.budgets.iter().position(|old| old.id == b.id).map(|at| self.counts[at]);
+            let kept =
+                |b: &Budget| self.budgets.iter().position(|old| old.id == b.id).map(|at| self.counts[at]);
             self.counts = news.budgets.iter().map(|b| kept(b).unwrap_or_default()).collect();
             self.purse.budgets(self.now, &news.budgets);
             self.budgets = news.budgets.clone();
@@ -112,10 +113,8 @@
     pub(super) fn pays(&mut self, payment: &Payment) -> bool {
         self.look();
         let (now, budgets) = (self.now, self.budgets.clone());
-        let pays = budgets
-            .iter()
-            .filter(|b| payment.falls_under(b))
-            .all(|b| self.purse.level(now, b.id) >= 1.0);
+        let pays =
+            budgets.iter().filter(|b| payment.falls_under(b)).all(|b| self.purse.level(now, b.id) >= 1.0);
         for (budget, (spent, refused)) in budgets.iter().zip(&mut self.counts) {
             if payment.falls_under(budget) {
                 let paid = pays && self.purse.spend(now, budget.id);
@@ -180,7 +179,9 @@
         if !self.fleet.is_down(server) {
             return true;
         }
-        let (Some(shares), Some(s)) = (self.shares.as_mut(), self.fleet.servers.get(&server)) else { return true };
+        let (Some(shares), Some(s)) = (self.shares.as_mut(), self.fleet.servers.get(&server)) else {
+            return true;
+        };
         let payment = Payment {
             spending: Spending::Dials,
             server: &s.listing.name,
@@ -241,7 +242,8 @@
     }
 
     fn give(parts: &mut Parts, budgets: &[u16], until: f64) {
-        let part = |&id: &u16| Part { budget: BudgetId(id), per_s: 10.0, burst: 4.0, until, ..Part::default() };
+        let part =
+            |&id: &u16| Part { budget: BudgetId(id), per_s: 10.0, burst: 4.0, until, ..Part::default() };
         parts.exchange.publish(budgets.iter().map(part).collect());
         parts.look();
     }
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,6 +2,7 @@
 
 use argh::{EarlyExit, FromArgs};
 use corkreach::audit::{self, AuditSettings};
+use corkreach::control::ControlSettings;
 use corkreach::fleet_audit::peers::Peers;
 use corkreach::fleet_audit::{Desired, Remedy};
 use corkreach::fronts::Fronts;
@@ -57,6 +58,9 @@
     /// the operator's file for the audit record, YAML (else GW_AUDIT, else none: nothing is recorded)
     #[argh(option)]
     audit: Option<PathBuf>,
+    /// the operator's file of the fleet's control plane, YAML (else GW_FLEET, else none: no budgets shared with others)
+    #[argh(option)]
+    fleet: Option<PathBuf>,
     /// least weighty log lines written: error, warn, info, debug or trace (info)
     #[argh(option, default = "log::LevelFilter::Info")]
     log: log::LevelFilter,
@@ -287,10 +291,14 @@
             let sites_read = sites.as_deref().map(SiteSettings::read).transpose()?;
             let audit = serve.audit.or_else(|| std::env::var_os("GW_AUDIT").map(PathBuf::from));
             let audit = audit.as_deref().map(AuditSettings::read).transpose()?;
-            let files = [&fronts, &limits, &sites].map(|path| path.as_deref());
-            let version = version::Version::new(config.digests.clone(), files[0], files[1], files[2])?;
+            let fleet = serve.fleet.or_else(|| std::env::var_os("GW_FLEET").map(PathBuf::from));
+            let control = fleet.as_deref().map(ControlSettings::read).transpose()?;
+            let [fronts, limits, sites, fleet] =
+                [&fronts, &limits, &sites, &fleet].map(|path| path.as_deref());
+            let version = version::Version::new(config.digests.clone(), fronts, limits, sites, fleet)?;
             logger::start(&config.name, serve.log)?;
-            let decisions = net::driver::Decisions { limits: limits_read, sites: sites_read, audit, version };
+            let decisions =
+                net::driver::Decisions { limits: limits_read, sites: sites_read, control, audit, version };
             net::driver::run(config, source, fronts_read, decisions)
         }
         Command::Check(check) => {
--- a/src/net/control.rs
+++ b/src/net/control.rs
@@ -4,6 +4,7 @@
 
 use super::peers::Sender;
 use crate::control::{Control, ControlFigures, ControlSettings, Effect, Event, Place, floor_of};
+use crate::engine::Engine;
 use crate::shares::Exchange;
 use crate::terms::{Budget, Member, Part};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -32,6 +33,25 @@
     pub fn now(&self) -> f64 {
         self.0.elapsed().as_secs_f64() * 1000.0
     }
+
+    /// Unix ms and this clock's, read together.
+    fn with_unix(&self) -> (f64, f64) {
+        let mut best = (0.0, 0.0, f64::INFINITY);
+        // A thread that loses its turn between the two reads tries again.
+        for _ in 0..5 {
+            let before = self.now();
+            let unix =
+                SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64() * 1000.0;
+            let gap = self.now() - before;
+            if gap < best.2 {
+                best = (unix, before, gap);
+            }
+            if gap < 0.05 {
+                break;
+            }
+        }
+        (best.0, best.1)
+    }
 }
 
 /// The control plane as it lies ready for its socket: what the driver hands to the traffic side and to the peers.
@@ -45,6 +65,7 @@
 
 /// The running control plane, from the traffic side.
 pub struct Handle {
+    clock: Monotonic,
     leaving: Arc<AtomicBool>,
     figures: Arc<Mutex<ControlFigures>>,
 }
@@ -55,6 +76,12 @@
         self.leaving.store(true, Ordering::Relaxed);
     }
 
+    /// The monotonic time of both threads, ms.
+    #[must_use]
+    pub fn now(&self) -> f64 {
+        self.clock.now()
+    }
+
     /// As they were at most a round ago.
     #[must_use]
     pub fn figures(&self) -> ControlFigures {
@@ -75,9 +102,10 @@
         Ok(Ready { settings, place, clock, exchange, queue: sync_channel(QUEUE) })
     }
 
+    /// Lets the traffic side spend what will be decided.
     #[must_use]
-    pub fn exchange(&self) -> Arc<Exchange> {
-        self.exchange.clone()
+    pub fn turn_on(&self, engine: Engine, seed: u64) -> Engine {
+        engine.with_shares(self.exchange.clone(), self.place.members, seed, self.clock.now())
     }
 
     /// Where the socket puts control datagrams, with the sender's place.
@@ -92,7 +120,8 @@
     /// No thread could be started.
     pub fn start(self, sender: Sender) -> Result<Handle, String> {
         let (leaving, figures) = (Arc::new(AtomicBool::new(false)), Arc::default());
-        let handle = Handle { leaving: Arc::clone(&leaving), figures: Arc::clone(&figures) };
+        let clock = self.clock;
+        let handle = Handle { clock, leaving: Arc::clone(&leaving), figures: Arc::clone(&figures) };
         let thread = Thread::new(self, sender, leaving, figures)?;
         let builder = std::thread::Builder::new().name("control".to_owned());
         builder.spawn(move || thread.run()).map_err(|e| format!("control thread: {e}"))?;
@@ -205,22 +234,22 @@
     }
 
     /// One line for each part that changed: at `info` if its figures did, else at `debug`, as it was only renewed.
-    /// `until` is Unix ms, by which the parts of several processes can be summed at one time.
+    /// `at` and `until` are Unix ms, by which the parts of several processes can be summed at one time.
     fn log(&mut self, parts: Vec<Part>) {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64() * 1000.0;
-        let offset = unix - self.clock.now();
+        let (at, now) = self.clock.with_unix();
         for budget in &self.budgets {
-            let of = |parts: &[Part]| parts.iter().find(|p| p.budget == budget.id).copied().unwrap_or_default();
+            let of =
+                |parts: &[Part]| parts.iter().find(|p| p.budget == budget.id).copied().unwrap_or_default();
             let (old, new) = (of(&self.parts), of(&parts));
             if old == new {
                 continue;
             }
             let changed = (old.per_s, old.burst) != (new.per_s, new.burst);
             let level = if changed { log::Level::Info } else { log::Level::Debug };
-            // Rounded up: no part is told shorter than it is.
-            let until = if new.until > 0.0 { (new.until + offset).ceil() } else { 0.0 };
+            let until = if new.until > 0.0 { new.until + at - now } else { 0.0 };
+            let (at, until) = (format_args!("{at:.3}"), format_args!("{until:.3}"));
             log::log!(target: "control", level, budget = budget.name.as_str(), per_s = new.per_s, burst = new.burst,
-                until = until, epoch = new.epoch.0; "part");
+                at:%, until:%, epoch = new.epoch.0; "part");
         }
         self.parts = parts;
     }
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -2,11 +2,12 @@
 
 use super::listeners::{self, Heirs};
 use super::servers::Order;
-use super::{WRITE_QUEUE, callers, names, operators, peers, servers};
+use super::{WRITE_QUEUE, callers, control, names, operators, peers, servers};
 use crate::audit::{AuditSettings, Writer};
 use crate::codec::h248::{callers::CallerCodec, servers::ServerCodec};
 use crate::codec::peers::{self as datagrams, DATAGRAM_MAX};
 use crate::config::{Config, Source};
+use crate::control::{ControlSettings, Place};
 use crate::engine::{
     CallerConn, Effect, Engine, Event, OperatorAnswer, OperatorAsk, OperatorConn, PeerReport, ServerConn,
     Standing, ToCaller,
@@ -15,6 +16,7 @@
 use crate::limits::{LimitSettings, Limits};
 use crate::logger;
 use crate::recovery::{Recovery, SiteSettings};
+use crate::terms::Member;
 use crate::version::{Status, Version};
 use std::cell::Cell;
 use std::collections::HashMap;
@@ -66,6 +68,8 @@
     pub limits: Option<LimitSettings>,
     /// The plan for the loss of a site.
     pub sites: Option<SiteSettings>,
+    /// The fleet's control plane.
+    pub control: Option<ControlSettings>,
     /// The audit record.
     pub audit: Option<AuditSettings>,
     /// What the process acts on.
@@ -83,7 +87,7 @@
     mut config: Config,
     source: Source,
     fronts: Fronts,
-    decisions: Decisions,
+    mut decisions: Decisions,
 ) -> Result<(), String> {
     // First of all: a SIGHUP without a handler ends the program.
     let mut hangups = signal(SignalKind::hangup()).map_err(|e| format!("signals: {e}"))?;
@@ -101,13 +105,16 @@
         }
         None => None,
     };
-    let mut driver = Driver::new(&config, sender.clone(), names, fronts, decisions)?;
+    let fleet = control_plane(&config, decisions.control.take())?;
+    let mut driver = Driver::new(&config, sender.clone(), names, fronts, decisions, fleet.as_ref())?;
     if let Some(peering) = &config.peering {
         let at = peering.listen;
-        let peers = peers::Peers::bind(peering, None).map_err(|e| format!("peers at {at}: {e}"))?;
+        let queue = fleet.as_ref().map(control::Ready::queue);
+        let peers = peers::Peers::bind(peering, queue).map_err(|e| format!("peers at {at}: {e}"))?;
         log::info!("peers on {}", peers.addr().map_err(|e| format!("peers at {at}: {e}"))?);
         let sending = peers.sender();
         let hearing = tokio::task::spawn_local(peers.listen(sender.clone())).abort_handle();
+        driver.control = fleet.map(|fleet| fleet.start(sending.clone())).transpose()?;
         driver.peers = Some((sending, hearing));
     }
     tokio::task::spawn_local(beat(driver.clock.clone()));
@@ -158,6 +165,30 @@
     Ok(())
 }
 
+/// The control plane, ready for its socket, where the operator's file turns it on and there is anybody to speak with.
+fn control_plane(
+    config: &Config,
+    settings: Option<ControlSettings>,
+) -> Result<Option<control::Ready>, String> {
+    let Some(settings) = settings else { return Ok(None) };
+    let Some(peering) = &config.peering else {
+        log::warn!(
+            "the control plane stays off: the configuration allows no messages to peers, or names none"
+        );
+        return Ok(None);
+    };
+    log::info!("control plane on: {settings:?}");
+    let count = |n: usize| u16::try_from(n).map_err(|_| format!("{n} peers are too many"));
+    let incarnation = Clock::default().now().max(0.0) as u64;
+    let place = Place {
+        me: Member(count(peering.own)?),
+        members: count(peering.peers.len())?,
+        incarnation,
+        seed: config.seed ^ incarnation.wrapping_mul(0x9e37_79b9_7f4a_7c15),
+    };
+    control::Ready::new(settings, place, control::Monotonic::start()).map(Some)
+}
+
 async fn beat(clock: Clock) {
     let mut ticks = interval(PULSE);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -198,6 +229,8 @@
     fronts: Fronts,
     /// The socket to the other border controllers, and the task that hears them, where messages are allowed.
     peers: Option<(peers::Sender, AbortHandle)>,
+    /// The control plane's thread, where the operator's file turns it on.
+    control: Option<control::Handle>,
 }
 
 /// What a caller's connection speaks.
@@ -214,6 +247,7 @@
         names: watch::Sender<SocketAddr>,
         fronts: Fronts,
         decisions: Decisions,
+        fleet: Option<&control::Ready>,
     ) -> Result<Self, String> {
         let clock = Clock::default();
         let mut engine = Engine::new(config.settings.clone(), config.host.clone(), config.seed, clock.now());
@@ -228,6 +262,9 @@
         if config.peering.is_some() {
             engine = engine.with_peers();
         }
+        if let Some(fleet) = fleet {
+            engine = fleet.turn_on(engine, config.seed);
+        }
         let (name, version) = (config.name.clone(), decisions.version);
         logger::act_on(&version);
         let mut audit = None;
@@ -261,6 +298,7 @@
             exiting: false,
             fronts,
             peers: None,
+            control: None,
         })
     }
 
@@ -350,6 +388,9 @@
         if ended {
             while self.tasks.try_join_next().is_some() {}
         }
+        if let Some(control) = &self.control {
+            self.engine.monotonic(control.now());
+        }
         let mut effects = std::mem::take(&mut self.effects);
         self.engine.step(self.clock.now(), event, &mut effects);
         self.keep_records(&mut effects);
@@ -412,6 +453,9 @@
                         if let (Some(peers), Some((sending, _))) = (&mut figures.peers, &self.peers) {
                             sending.add_to(peers);
                         }
+                        if let (Some(shares), Some(control)) = (&mut figures.shares, &self.control) {
+                            shares.control = control.figures();
+                        }
                         OperatorAnswer::Figures(figures)
                     }
                     other => other,
@@ -476,6 +520,9 @@
         if successor && let Some((_, hearing)) = self.peers.take() {
             hearing.abort();
         }
+        if let Some(control) = &self.control {
+            control.leave();
+        }
         self.step(Event::Stop { successor });
     }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,6 +1,7 @@
 //! Sockets: the codecs and connections of callers, call servers, operators, peers and the name service, and what drives them.
 
 pub mod callers;
+pub mod control;
 pub mod driver;
 pub mod listeners;
 pub mod names;
--- a/src/net/operators.rs
+++ b/src/net/operators.rs
@@ -1,6 +1,6 @@
 //! Operators: HTTP/1.1 at an address of its own, one call a connection.
 
-use crate::engine::{Figures, OperatorAnswer, OperatorAsk, PeerFigures};
+use crate::engine::{BudgetFigures, Figures, OperatorAnswer, OperatorAsk, PeerFigures, ShareFigures};
 use crate::recovery::{RecoveryFigures, State};
 use bytes::{BufMut, BytesMut};
 use futures_util::{SinkExt, StreamExt};
@@ -209,12 +209,51 @@
     if let Some(told) = &figures.peers {
         peers(told, &mut text);
     }
+    if let Some(shared) = &figures.shares {
+        shares(shared, &mut text);
+    }
     if let Some(recovery) = &figures.recovery {
         sites(recovery, &mut text);
     }
     text
 }
 
+/// The fleet's budgets and the control plane that divides them, where it is on.
+fn shares(shared: &ShareFigures, text: &mut String) {
+    let mut series = |name: &str, kind: &str, value: &dyn Fn(&BudgetFigures) -> f64| {
+        let _ = writeln!(text, "# TYPE {name} {kind}");
+        for budget in &shared.budgets {
+            let _ = writeln!(text, "{name}{{budget={:?}}} {}", budget.name, value(budget));
+        }
+    };
+    series("gw_share_per_s", "gauge", &|b| b.per_s);
+    series("gw_share_burst", "gauge", &|b| b.burst);
+    series("gw_share_spent", "counter", &|b| b.spent as f64);
+    series("gw_share_refused", "counter", &|b| b.refused as f64);
+    let c = &shared.control;
+    let (master, epoch) = c.master.map_or((-1, 0), |(member, epoch)| (i64::from(member.0), epoch.0));
+    for (name, kind, value) in [
+        ("gw_share_pressed_refused", "counter", shared.pressed as i64),
+        ("gw_control_master", "gauge", master),
+        ("gw_control_epoch", "gauge", epoch as i64),
+        ("gw_control_sent", "counter", c.sent as i64),
+        ("gw_control_heard", "counter", c.heard as i64),
+        ("gw_control_too_long", "counter", c.too_long as i64),
+    ] {
+        let _ = writeln!(text, "# TYPE {name} {kind}\n{name} {value}");
+    }
+    let _ = writeln!(text, "# TYPE gw_control_dropped counter");
+    let dropped = &c.dropped;
+    for (why, n) in [
+        ("malformed", dropped.malformed),
+        ("version", dropped.version),
+        ("code", dropped.code),
+        ("replayed", dropped.replayed),
+    ] {
+        let _ = writeln!(text, "gw_control_dropped{{why={why:?}}} {n}");
+    }
+}
+
 /// Messages between border controllers, where they are on.
 fn peers(p: &PeerFigures, text: &mut String) {
     let _ = writeln!(text, "# TYPE gw_peer_datagrams_sent counter\ngw_peer_datagrams_sent {}", p.sent);
--- a/src/net/peers.rs
+++ b/src/net/peers.rs
@@ -19,6 +19,8 @@
 /// Datagrams a second of one kind: sent, and heard from one peer. The module tells of a call server five times a
 /// second at most, and it may tell of ten.
 const PER_S: f64 = 50.0;
+/// Datagrams of the control plane a second for each peer: one of them asks and answers all the others each round.
+const CONTROL_PER_S: f64 = 50.0;
 /// Datagrams a second taken off the socket, whoever sent them; the system drops what it can't keep meanwhile.
 const ALL_PER_S: f64 = 2000.0;
 /// With that spent, the socket is left alone for so long.
@@ -141,7 +143,7 @@
             peering: peering.clone(),
             counts: Counts::default(),
             reports: Mutex::new(Bucket::new(PER_S)),
-            control: Mutex::new(Bucket::new(PER_S)),
+            control: Mutex::new(Bucket::new(CONTROL_PER_S * peering.peers.len().max(1) as f64)),
         };
         Ok(Peers { socket: UdpSocket::from_std(socket)?, sender: Sender(Arc::new(shared)), control })
     }
--- a/src/version.rs
+++ b/src/version.rs
@@ -27,6 +27,13 @@
     pub limits: String,
     /// Of sites.
     pub sites: String,
+    /// Of the control plane; a process from before there was one tells none.
+    #[serde(default = "none")]
+    pub fleet: String,
+}
+
+fn none() -> String {
+    NONE.into()
 }
 
 /// The hexadecimal start of the SHA-256 digest of some bytes.
@@ -57,7 +64,7 @@
     if let Some(settings) = settings.as_object_mut() {
         settings.remove("index");
     }
-    for own in ["name", "listen", "management", "seed", "known", "dns"] {
+    for own in ["name", "listen", "management", "seed", "known", "dns", "peer_listen", "peers"] {
         object.remove(own);
     }
     let text = |value: serde_json::Value| value.to_string();
@@ -74,6 +81,7 @@
         fronts: Option<&Path>,
         limits: Option<&Path>,
         sites: Option<&Path>,
+        fleet: Option<&Path>,
     ) -> Result<Version, String> {
         Ok(Version {
             build: env!("CARGO_PKG_VERSION").into(),
@@ -83,6 +91,7 @@
             fronts: digest_of(fronts)?,
             limits: digest_of(limits)?,
             sites: digest_of(sites)?,
+            fleet: digest_of(fleet)?,
         })
     }
 
@@ -97,6 +106,7 @@
             &self.fronts,
             &self.limits,
             &self.sites,
+            &self.fleet,
         ];
         digest(parts.map(String::as_str).join("\n").as_bytes())
     }
@@ -112,6 +122,7 @@
             ("fronts", self.fronts != other.fronts),
             ("limits", self.limits != other.limits),
             ("sites", self.sites != other.sites),
+            ("fleet", self.fleet != other.fleet),
         ];
         parts.into_iter().filter(|(_, differs)| *differs).map(|(name, _)| name).collect()
     }
@@ -156,15 +167,21 @@
 
     #[test]
     fn versions_say_in_what_they_differ() {
-        let one = Version::new(digests(CONFIG.as_bytes()).unwrap(), None, None, None).unwrap();
-        let two =
-            Version::new(digests(CONFIG.replace('9', "8").as_bytes()).unwrap(), None, None, None).unwrap();
+        let one = Version::new(digests(CONFIG.as_bytes()).unwrap(), None, None, None, None).unwrap();
+        let two = Version::new(digests(CONFIG.replace('9', "8").as_bytes()).unwrap(), None, None, None, None)
+            .unwrap();
         assert_eq!(one.differs(&two), vec!["config"]);
         assert_ne!(one.id(), two.id());
         assert_eq!(one.limits, "none");
         assert!(
-            Version::new(digests(CONFIG.as_bytes()).unwrap(), Some(Path::new("/nowhere/x")), None, None)
-                .is_err()
+            Version::new(
+                digests(CONFIG.as_bytes()).unwrap(),
+                Some(Path::new("/nowhere/x")),
+                None,
+                None,
+                None
+            )
+            .is_err()
         );
     }
 }
