--- a/src/engine/operators.rs
+++ b/src/engine/operators.rs
@@ -90,6 +90,7 @@
             recovery: self.recovery.as_ref().map(crate::recovery::Recovery::figures),
             shares,
             peers: self.peer_figures(),
+            probes: self.probe_figures(),
         }
     }
 
