--- a/src/lab/fleet.rs
+++ b/src/lab/fleet.rs
@@ -29,6 +29,10 @@
     pub limits: Option<&'a str>,
     /// The sites' text, if there is a plan.
     pub sites: Option<&'a str>,
+    /// The control plane's text, if it is on.
+    pub control: Option<&'a str>,
+    /// The least weighty log lines kept; none: as the program does by itself.
+    pub log: Option<&'a str>,
     /// It has an address for operators.
     pub management: bool,
     /// It keeps an audit record, in the folder `audit` of its own.
@@ -77,6 +81,17 @@
 }
 
 impl Instance {
+    /// The process's number.
+    #[must_use]
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Waits until the process has ended by itself.
+    pub fn wait(&mut self) {
+        let _ = self.child.wait();
+    }
+
     /// Kills the process at once, as a crash would.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
@@ -118,11 +133,21 @@
     std::fs::write(folder.join("config.json"), config.to_string()).map_err(io)?;
     let mut command = Command::new(orders.program);
     command.arg("serve").env("GW_CONFIG", folder.join("config.json")).env("TMPDIR", folder);
-    for variable in
-        ["GW_LISTEN", "GW_MANAGEMENT", "GW_NAME", "GW_FRONTS", "GW_LIMITS", "GW_SITES", "GW_AUDIT"]
-    {
+    for variable in [
+        "GW_LISTEN",
+        "GW_MANAGEMENT",
+        "GW_NAME",
+        "GW_FRONTS",
+        "GW_LIMITS",
+        "GW_SITES",
+        "GW_FLEET",
+        "GW_AUDIT",
+    ] {
         command.env_remove(variable);
     }
+    if let Some(level) = orders.log {
+        command.args(["--log", level]);
+    }
     if orders.management {
         command.env("GW_MANAGEMENT", "127.0.0.1:0");
     }
@@ -130,6 +155,7 @@
     for (variable, file, text) in [
         ("GW_LIMITS", "limits.yaml", orders.limits),
         ("GW_SITES", "sites.yaml", orders.sites),
+        ("GW_FLEET", "control.yaml", orders.control),
         ("GW_AUDIT", "audit.yaml", audit.as_deref()),
     ] {
         if let Some(text) = text {
--- a/src/lab/mod.rs
+++ b/src/lab/mod.rs
@@ -18,6 +18,7 @@
 pub mod standin;
 
 use caller::Door;
+use datagrams::Datagrams;
 use fleet::{Instance, Orders};
 use names::Listed;
 use proxy::{Fault, Proxy};
@@ -223,10 +224,12 @@
         let row: Vec<Proxy> = servers.iter().enumerate().map(link).collect::<Result<_, _>>().map_err(io)?;
         proxies.push(row);
     }
-    let (limits, sites) = match run {
-        Run::Off => (None, None),
-        Run::On => (scenario.limits_text()?, scenario.sites_text()?),
+    let (limits, sites, control) = match run {
+        Run::Off => (None, None, None),
+        Run::On => (scenario.limits_text()?, scenario.sites_text()?, scenario.control_text()?),
     };
+    let links =
+        scenario.control.as_ref().map(|_| Datagrams::start(n, scenario.seed)).transpose().map_err(io)?;
     let orders = Orders {
         program,
         siblings: n,
@@ -235,9 +238,11 @@
         places: scenario.servers.len(),
         limits: limits.as_deref(),
         sites: sites.as_deref(),
+        control: control.as_deref(),
+        log: None,
         management: false,
         audit: false,
-        links: None,
+        links: links.as_ref(),
         probing: false,
     };
     let doors: Vec<Arc<Door>> = (0..n).map(|_| Arc::new(Door::default())).collect();
@@ -263,7 +268,7 @@
         let (scenario, profile, door) = (scenario.clone(), profile.clone(), door.clone());
         let patience = Duration::from_millis(u64::from(scenario.wait_ms) + 3000);
         std::thread::spawn(move || {
-            let per_s = |second| scenario.per_s(second);
+            let per_s = |second| scenario.per_s(i, second);
             caller::offer(door, &profile, per_s, scenario.seconds, (i as u64 + 1) << 32, patience)
         })
     };
--- a/src/lab/scenario.rs
+++ b/src/lab/scenario.rs
@@ -34,19 +34,26 @@
     pub repeats: Option<Repeats>,
     /// Set-ups a second offered to each instance, as steps from a second on.
     pub load: Vec<Step>,
+    /// By instance, by how much its load differs from the steps'; those not named are as the steps say.
+    #[serde(default)]
+    pub weights: Vec<f64>,
     /// The stand-in call servers.
     pub servers: Vec<Server>,
     /// What happens, and when.
     #[serde(default)]
     pub faults: Vec<Event>,
     /// The fleet limits file of the `on` runs, relative to the scenario's folder; `shipped`: the values of
-    /// `deploy/limits.yaml`, which is meant too where neither this nor `sites` is named.
+    /// `deploy/limits.yaml`, which is meant too where neither this nor `sites` nor `control` is named.
     #[serde(default)]
     pub limits: Option<PathBuf>,
     /// The sites file of the `on` runs, relative to the scenario's folder; none: no plan.
     #[serde(default)]
     pub sites: Option<PathBuf>,
-    /// Runs made, in order: `off` (neither file), `on`, or both.
+    /// The control plane's file of the `on` runs, relative to the scenario's folder; none: no budgets are shared. In both
+    /// runs the instances may then send each other messages.
+    #[serde(default)]
+    pub control: Option<PathBuf>,
+    /// Runs made, in order: `off` (none of the files), `on`, or both.
     #[serde(default = "runs")]
     pub runs: Vec<Run>,
 }
@@ -68,9 +75,9 @@
 #[derive(Clone, Copy, Debug, Deserialize, serde::Serialize, PartialEq, Eq)]
 #[serde(rename_all = "snake_case")]
 pub enum Run {
-    /// Neither limits nor sites: the program as it runs on the platform.
+    /// No limits, no sites, no control plane: the program as it runs on the platform.
     Off,
-    /// With the limits or the sites of the scenario.
+    /// With the limits, the sites or the control plane of the scenario.
     On,
 }
 
@@ -228,6 +235,7 @@
         scenario.limits =
             scenario.limits.map(|file| if file.as_os_str() == SHIPPED { file } else { folder.join(file) });
         scenario.sites = scenario.sites.map(|file| folder.join(file));
+        scenario.control = scenario.control.map(|file| folder.join(file));
         Ok(scenario)
     }
 
@@ -237,7 +245,8 @@
     /// The file named can't be read or is no limits file.
     pub fn limits_text(&self) -> Result<Option<String>, String> {
         let Some(path) = &self.limits else {
-            return Ok(self.sites.is_none().then(|| SHIPPED_LIMITS.to_owned()));
+            let none = self.sites.is_none() && self.control.is_none();
+            return Ok(none.then(|| SHIPPED_LIMITS.to_owned()));
         };
         if path.as_os_str() == SHIPPED {
             return Ok(Some(SHIPPED_LIMITS.to_owned()));
@@ -256,6 +265,17 @@
         self.sites.as_ref().map(read).transpose()
     }
 
+    /// The text of the control plane's file for a run with it on, checked as the program would; none: none.
+    ///
+    /// # Errors
+    /// The file named can't be read, or does not fit the fleet.
+    pub fn control_text(&self) -> Result<Option<String>, String> {
+        let Some(path) = &self.control else { return Ok(None) };
+        let settings = crate::control::ControlSettings::read(path)?;
+        settings.check_fleet(u16::try_from(self.instances).unwrap_or(u16::MAX))?;
+        std::fs::read_to_string(path).map(Some).map_err(|e| format!("{}: {e}", path.display()))
+    }
+
     /// The places in `servers` of the call servers that this event concerns.
     #[must_use]
     pub fn touched(&self, event: &Event) -> Vec<usize> {
@@ -279,6 +299,9 @@
         if self.classes.iter().any(|c| !(c.part > 0.0 && c.part.is_finite() && c.worth.is_finite())) {
             return Err("classes: a part above 0 and a finite worth are wanted".into());
         }
+        if self.weights.len() > self.instances || self.weights.iter().any(|w| !(w.is_finite() && *w >= 0.0)) {
+            return Err("weights: one of 0 or more for each instance at most".into());
+        }
         if let Some(s) = self.servers.iter().find(|s| s.cold.is_some() && s.line_per_s.is_none()) {
             return Err(format!("server {}: cold wants line_per_s", s.id));
         }
@@ -305,15 +328,19 @@
 
     /// Takes `n` instances; the load offered in all stays the same.
     pub fn resize(&mut self, n: usize) {
-        let factor = self.instances as f64 / n.max(1) as f64;
+        let weight = |i: usize| self.weights.get(i).copied().unwrap_or(1.0);
+        let sum = |n: usize| (0..n).map(weight).sum::<f64>();
+        let factor = sum(self.instances) / sum(n).max(f64::MIN_POSITIVE);
+        self.weights.truncate(n);
         self.load.iter_mut().for_each(|step| step.per_s *= factor);
         self.instances = n;
     }
 
-    /// Set-ups a second offered to each instance in this second.
+    /// Set-ups a second offered to an instance in this second.
     #[must_use]
-    pub fn per_s(&self, second: usize) -> f64 {
-        self.load.iter().filter(|s| s.at_s <= second).max_by_key(|s| s.at_s).map_or(0.0, |s| s.per_s)
+    pub fn per_s(&self, instance: usize, second: usize) -> f64 {
+        let weight = self.weights.get(instance).copied().unwrap_or(1.0);
+        weight * self.load.iter().filter(|s| s.at_s <= second).max_by_key(|s| s.at_s).map_or(0.0, |s| s.per_s)
     }
 }
 
@@ -332,7 +359,7 @@
             }
             let shipped = Scenario::read(&path).unwrap();
             assert_eq!(shipped.runs, vec![Run::Off, Run::On]);
-            assert!(shipped.per_s(0) > 0.0);
+            assert!(shipped.per_s(0, 0) > 0.0);
             read += 1;
         }
         assert!(read >= 1);
@@ -349,7 +376,7 @@
         let text = "seconds: 9\ninstances: 1\nload: [{at_s: 0, per_s: 5}, {at_s: 4, per_s: 20}]\nservers: [{id: a}]\n";
         let scenario = Scenario::parse(text).unwrap();
         assert_eq!(
-            [scenario.per_s(0), scenario.per_s(3), scenario.per_s(4), scenario.per_s(8)],
+            [scenario.per_s(0, 0), scenario.per_s(0, 3), scenario.per_s(0, 4), scenario.per_s(0, 8)],
             [5.0, 5.0, 20.0, 20.0]
         );
     }
--- a/tests/lab/audit.rs
+++ b/tests/lab/audit.rs
@@ -39,6 +39,8 @@
         places: 1,
         limits: None,
         sites: None,
+        control: None,
+        log: None,
         management: true,
         audit: true,
         links: None,
--- a/tests/lab/fleet.rs
+++ b/tests/lab/fleet.rs
@@ -53,6 +53,8 @@
         places: 2,
         limits,
         sites: None,
+        control: None,
+        log: None,
         management: false,
         audit: false,
         links: None,
