--- a/src/lab/caller.rs
+++ b/src/lab/caller.rs
@@ -20,6 +20,8 @@
 const REFUSED: u8 = 42;
 /// How often the caller looks at what is due.
 const TICK: Duration = Duration::from_millis(4);
+/// A call answered within this of its first try is worth all that it may be.
+const TARGET: Duration = Duration::from_millis(1500);
 
 /// A class of calls as the callers offer it.
 #[derive(Clone, Debug, serde::Deserialize, PartialEq)]
@@ -95,6 +97,8 @@
     pub unended: u64,
     /// The longest time to a refusal, ms.
     pub slowest_refusal_ms: u64,
+    /// Of those answered, the ones within 1.5 s of the first try.
+    pub in_time: u64,
 }
 
 impl Tally {
@@ -111,6 +115,7 @@
         self.cut += from.cut;
         self.unended += from.unended;
         self.slowest_refusal_ms = self.slowest_refusal_ms.max(from.slowest_refusal_ms);
+        self.in_time += from.in_time;
     }
 }
 
@@ -136,6 +141,8 @@
     class: usize,
     place: u32,
     repeat: u32,
+    /// When it was first tried.
+    first_at: Instant,
 }
 
 /// One that is open: when it was offered, and whether it stands.
@@ -187,7 +194,10 @@
             (ANSWERED, Some(o)) if !o.standing => {
                 o.standing = true;
                 let (second, class) = (o.second, o.offer.class);
-                self.tally(second, class).answered += 1;
+                let in_time = o.offer.first_at.elapsed() <= TARGET;
+                let tally = self.tally(second, class);
+                tally.answered += 1;
+                tally.in_time += u64::from(in_time);
             }
             (RELEASE, Some(o)) if o.standing => {
                 self.open.remove(&call);
@@ -399,7 +409,7 @@
                 let place = profile.places.get(rng.usize(0..profile.places.len().max(1)));
                 let number = rng.u64(..);
                 let (class, place) = (class.unwrap_or(0), place.copied().unwrap_or(0));
-                wanted.push(Offer { number, class, place, repeat: 0 });
+                wanted.push(Offer { number, class, place, repeat: 0, first_at: Instant::now() });
             }
         }
         let now = Instant::now();
@@ -456,8 +466,8 @@
 
     fn ledger(repeats: Option<Repeats>) -> Ledger {
         let mut ledger = Ledger { classes: 1, repeats, ..Ledger::default() };
-        let offer = Offer { number: 1, class: 0, place: 0, repeat: 0 };
         let at = Instant::now();
+        let offer = Offer { number: 1, class: 0, place: 0, repeat: 0, first_at: at };
         for call in 1..=3 {
             ledger.open.insert(call, Open { offer, second: 0, at, standing: false });
         }
--- a/src/lab/mod.rs
+++ b/src/lab/mod.rs
@@ -64,6 +64,8 @@
     pub second: usize,
     /// The class's name.
     pub class: String,
+    /// What a call of the class is worth.
+    pub worth: f64,
     /// The callers' tally, summed over the instances.
     pub tally: caller::Tally,
 }
@@ -309,7 +311,13 @@
         for (k, class) in scenario.classes.iter().enumerate() {
             let mut tally = caller::Tally::default();
             of_all.iter().for_each(|seconds: &Vec<Vec<_>>| tally.add(&seconds[second][k]));
-            figures.callers.push(CallerSecond { run, second, class: class.name.clone(), tally });
+            figures.callers.push(CallerSecond {
+                run,
+                second,
+                class: class.name.clone(),
+                worth: class.worth,
+                tally,
+            });
         }
     }
     for (instance, seconds) in of_all.iter().enumerate() {
--- a/src/lab/results.rs
+++ b/src/lab/results.rs
@@ -22,6 +22,16 @@
     pub repeats: u64,
     /// Set-ups that reached any server, for each offered; of all classes only.
     pub attempts_per_offered: Option<f64>,
+    /// The same for each first set-up, a caller's repeats folded into it; of all classes only.
+    pub attempts_per_first: Option<f64>,
+    /// Answered for each first set-up.
+    pub answered_per_first: f64,
+    /// Worth earned for each first set-up, as a share of the most there was: all of it within 1.5 s of the first try, a
+    /// fifth later.
+    pub worth_per_first: f64,
+    /// The worst-served instance's answers for each of its first set-ups, as a share of the instances' mean; of all
+    /// classes only.
+    pub worst_instance: Option<f64>,
     /// The most dials by the whole fleet at one server in one second, the first second (the fleet's own
     /// start) left out; of all classes only.
     pub peak_dials_per_s: Option<u64>,
@@ -79,6 +89,19 @@
     summary
 }
 
+/// Worth of a call answered later than in time.
+const LATE_WORTH: f64 = 0.2;
+
+/// The worst-served instance's answers for each first set-up, against the mean over all.
+fn worst_instance(figures: &Figures, run: Run) -> f64 {
+    let per_first = |t: &Tally| t.answered as f64 / t.offered.saturating_sub(t.repeats).max(1) as f64;
+    let each: Vec<f64> =
+        figures.instances.iter().filter(|i| i.run == run).map(|i| per_first(&i.tally)).collect();
+    let mean = each.iter().sum::<f64>() / each.len().max(1) as f64;
+    let worst = each.iter().copied().fold(f64::INFINITY, f64::min);
+    if mean > 0.0 { worst / mean } else { 0.0 }
+}
+
 fn summary_of(figures: &Figures, run: Run, class: Option<&str>) -> Summary {
     let mut tally = Tally::default();
     let meant = |c: &&crate::lab::CallerSecond| c.run == run && class.is_none_or(|name| name == c.class);
@@ -86,6 +109,14 @@
     let share = |n: u64, of: u64| if of == 0 { 0.0 } else { n as f64 / of as f64 };
     let servers = || figures.servers.iter().filter(|s| s.run == run);
     let attempts = share(servers().map(|s| s.attempts).sum(), tally.offered);
+    let firsts = tally.offered.saturating_sub(tally.repeats);
+    let attempts_per_first = share(servers().map(|s| s.attempts).sum(), firsts);
+    let (mut earned, mut most) = (0.0, 0.0);
+    for c in figures.callers.iter().filter(meant) {
+        let late = c.tally.answered.saturating_sub(c.tally.in_time) as f64;
+        earned += c.worth * (c.tally.in_time as f64 + LATE_WORTH * late);
+        most += c.worth * c.tally.offered.saturating_sub(c.tally.repeats) as f64;
+    }
     let peak = servers().filter(|s| s.second > 0).map(|s| s.dials).max().unwrap_or(0);
     Summary {
         run,
@@ -93,6 +124,10 @@
         offered: tally.offered,
         repeats: tally.repeats,
         attempts_per_offered: class.is_none().then_some(attempts),
+        attempts_per_first: class.is_none().then_some(attempts_per_first),
+        answered_per_first: share(tally.answered, firsts),
+        worth_per_first: if most > 0.0 { earned / most } else { 0.0 },
+        worst_instance: class.is_none().then(|| worst_instance(figures, run)),
         peak_dials_per_s: class.is_none().then_some(peak),
         answered: share(tally.answered, tally.offered),
         refused: share(tally.refused, tally.offered),
@@ -109,12 +144,16 @@
 #[must_use]
 pub fn table(summary: &[Summary]) -> String {
     let mut text = format!(
-        "{:<4}{:<14}{:>8}{:>9}{:>11}{:>9}{:>9}{:>9}{:>9}{:>9}{:>12}{:>8}{:>6}{:>6}\n",
+        "{:<4}{:<14}{:>8}{:>9}{:>11}{:>10}{:>10}{:>10}{:>7}{:>9}{:>9}{:>9}{:>9}{:>9}{:>12}{:>8}{:>6}{:>6}\n",
         "run",
         "class",
         "offered",
         "repeats",
         "att/offer",
+        "att/first",
+        "ans/first",
+        "worth",
+        "worst",
         "dials/s",
         "answered",
         "refused",
@@ -127,13 +166,17 @@
     );
     for s in summary {
         let attempts = s.attempts_per_offered.map_or_else(String::new, |n| format!("{n:.3}"));
+        let firsts = s.attempts_per_first.map_or_else(String::new, |n| format!("{n:.3}"));
+        let worst = s.worst_instance.map_or_else(String::new, |n| format!("{n:.2}"));
         let dials = s.peak_dials_per_s.map_or_else(String::new, |n| n.to_string());
         text += &format!(
-            "{:<4}{:<14}{:>8}{:>9}{attempts:>11}{dials:>9}{:>9.3}{:>9.3}{:>9.3}{:>9.3}{:>12}{:>8}{:>6}{:>6}\n",
+            "{:<4}{:<14}{:>8}{:>9}{attempts:>11}{firsts:>10}{:>10.3}{:>10.3}{worst:>7}{dials:>9}{:>9.3}{:>9.3}{:>9.3}{:>9.3}{:>12}{:>8}{:>6}{:>6}\n",
             s.run.name(),
             s.class,
             s.offered,
             s.repeats,
+            s.answered_per_first,
+            s.worth_per_first,
             s.answered,
             s.refused,
             s.advised,
@@ -162,9 +205,9 @@
     rows(&out.join("servers.csv"), &head, servers)?;
     let of = |t: &Tally| {
         let counted = (t.offered, t.repeats, t.answered, t.refused, t.advised, t.failed);
-        (counted, (t.doubled, t.lost, t.cut, t.unended, t.slowest_refusal_ms))
+        (counted, (t.doubled, t.lost, t.cut, t.unended, t.slowest_refusal_ms, t.in_time))
     };
-    const TALLY: [&str; 11] = [
+    const TALLY: [&str; 12] = [
         "offered",
         "repeats",
         "answered",
@@ -176,6 +219,7 @@
         "cut",
         "unended",
         "slowest_refusal_ms",
+        "in_time",
     ];
     let callers = figures.callers.iter().map(|c| (c.run, c.second, &c.class, of(&c.tally)));
     rows(&out.join("callers.csv"), &[&["run", "second", "class"], &TALLY[..]].concat(), callers)?;
