--- a/src/control/wire.rs
+++ b/src/control/wire.rs
@@ -47,6 +47,9 @@
     pub replayed: u64,
 }
 
+/// The count under which one goes that is not taken.
+type Reason = fn(&mut Dropped) -> &mut u64;
+
 /// What was seen of a sender: its incarnation, and of the last 64 sequence numbers which came.
 #[derive(Debug)]
 struct Seen {
@@ -158,8 +161,8 @@
         now: f64,
         from: Option<Member>,
         bytes: &[u8],
-    ) -> Result<(Member, B), fn(&mut Dropped) -> &mut u64> {
-        let malformed: fn(&mut Dropped) -> &mut u64 = |d| &mut d.malformed;
+    ) -> Result<(Member, B), Reason> {
+        let malformed: Reason = |d| &mut d.malformed;
         let code_length = if self.key.is_some() { MAC } else { CRC };
         if bytes.len() < 2 || bytes.len() > DATAGRAM_MOST || bytes[0] != KIND {
             return Err(malformed);
--- a/src/net/control.rs
+++ b/src/net/control.rs
@@ -12,6 +12,9 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+/// A control datagram as it came, with its sender's place.
+pub type Datagram = (u16, Vec<u8>);
+
 /// Datagrams that may wait for the thread; more are dropped, as the network might.
 const QUEUE: usize = 512;
 /// The thread looks so often whether the process is to stop.
@@ -60,7 +63,7 @@
     place: Place,
     clock: Monotonic,
     exchange: Arc<Exchange>,
-    queue: (SyncSender<(u16, Vec<u8>)>, Receiver<(u16, Vec<u8>)>),
+    queue: (SyncSender<Datagram>, Receiver<Datagram>),
 }
 
 /// The running control plane, from the traffic side.
@@ -110,7 +113,7 @@
 
     /// Where the socket puts control datagrams, with the sender's place.
     #[must_use]
-    pub fn queue(&self) -> SyncSender<(u16, Vec<u8>)> {
+    pub fn queue(&self) -> SyncSender<Datagram> {
         self.queue.0.clone()
     }
 
@@ -136,7 +139,7 @@
     clock: Monotonic,
     exchange: Arc<Exchange>,
     sender: Sender,
-    heard: Receiver<(u16, Vec<u8>)>,
+    heard: Receiver<Datagram>,
     leaving: Arc<AtomicBool>,
     left: bool,
     figures: Arc<Mutex<ControlFigures>>,
