--- a/src/lib.rs
+++ b/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod engine;
 pub mod fleet_audit;
 pub mod fronts;
+pub mod gather;
 pub mod interface;
 pub mod lab;
 pub mod limits;
