--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -14,11 +14,13 @@
 mod peers;
 mod probes;
 mod recovery;
+mod shares;
 #[cfg(test)]
 mod tests;
 mod timers;
 
 pub use messages::*;
+pub use shares::{BudgetFigures, ShareFigures};
 
 use crate::audit::{Decision, Record};
 use crate::interface::{self as module, Action, CallId, Outcome, ServerId, Settings};
@@ -89,6 +91,8 @@
     may_probe: bool,
     probes: Probes,
     sites_turn: Option<f64>,
+    /// This instance's parts of the fleet's budgets, where the operator's file has some.
+    shares: Option<shares::Parts>,
     callers: Callers,
     calls: Calls,
     fleet: Fleet,
@@ -130,6 +134,7 @@
             may_probe: settings.may_probe,
             probes: Probes::default(),
             sites_turn: None,
+            shares: None,
             controller: Controller::new(settings, seed, now),
             host,
             callers: Callers::default(),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod clock;
 pub mod codec;
 pub mod config;
+pub mod control;
 pub mod engine;
 pub mod fleet_audit;
 pub mod fronts;
--- a/src/net/figures.rs
+++ b/src/net/figures.rs
@@ -1,6 +1,6 @@
 //! The figures in Prometheus's text format.
 
-use crate::engine::{Figures, PeerFigures};
+use crate::engine::{Figures, PeerFigures, ShareFigures};
 use crate::recovery::{RecoveryFigures, State};
 use prometheus_client::collector::Collector;
 use prometheus_client::encoding::text::encode_registry;
@@ -86,6 +86,9 @@
         if let Some(told) = &self.peers {
             peers(told, &mut scrape)?;
         }
+        if let Some(shared) = &self.shares {
+            shares(shared, &mut scrape)?;
+        }
         if let Some(p) = self.probes {
             scrape.count("probes_sent", [([], p.sent)])?;
             let ended = [("answered", p.answered), ("turned_away", p.turned_away), ("failed", p.failed)];
@@ -95,6 +98,27 @@
     }
 }
 
+/// The fleet's budgets and the control plane that divides them, where it is on.
+fn shares(shared: &ShareFigures, scrape: &mut Scrape) -> Result<(), Error> {
+    let of_each = || shared.budgets.iter().map(|b| ([("budget", b.name.as_str())], b));
+    scrape.gauge("share_per_s", of_each().map(|(labels, b)| (labels, b.per_s)))?;
+    scrape.gauge("share_burst", of_each().map(|(labels, b)| (labels, b.burst)))?;
+    scrape.count("share_spent", of_each().map(|(labels, b)| (labels, b.spent)))?;
+    scrape.count("share_refused", of_each().map(|(labels, b)| (labels, b.refused)))?;
+    scrape.count("share_pressed_refused", [([], shared.pressed)])?;
+    let c = &shared.control;
+    let (master, epoch) = c.master.map_or((-1, 0), |(member, epoch)| (i64::from(member.0), epoch.0));
+    scrape.gauge("control_master", [([], master)])?;
+    scrape.gauge("control_epoch", [([], epoch)])?;
+    scrape.count("control_sent", [([], c.sent)])?;
+    scrape.count("control_heard", [([], c.heard)])?;
+    scrape.count("control_too_long", [([], c.too_long)])?;
+    let d = &c.dropped;
+    let dropped =
+        [("malformed", d.malformed), ("version", d.version), ("code", d.code), ("replayed", d.replayed)];
+    scrape.count("control_dropped", dropped.map(|(why, n)| ([("why", why)], n)))
+}
+
 /// Messages between border controllers.
 fn peers(p: &PeerFigures, scrape: &mut Scrape) -> Result<(), Error> {
     scrape.count("peer_datagrams_sent", [([], p.sent)])?;
