Keep a wait met here against late reports, and read a told wait instead of closing by it

Nothing stood on any of five servers for 8 s. - With the share refused at 1 by a reading (`refused_share`), no set-up passed that could tell that it no longer holds.

Change: what a set-up met here (answered, in vain, or told with 'full') is kept until one sent later meets a shorter wait; a wait of 5 s or more is a stall's and holds a second; a report makes set-ups lost only beyond the time of silence; a line lets in what b's cap leaves.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -66,8 +66,10 @@
 const ORDER_MS: f64 = 120.0;
 /// By so much they do when nothing is amiss, ms.
 const PASSING_MS: f64 = 50.0;
-/// No reading of a wait is taken as longer, ms: a stalled server may report any figure.
+/// A wait told as this or longer is that of a stalled server, ms: its line, over no speed, gives any figure.
 const WAIT_MAX_MS: f64 = 5000.0;
+/// So long such a one is taken to stay shut, ms.
+const STALL_MS: f64 = 1000.0;
 /// Numbers remembered at most: far more than are redialled at once; beyond it all are forgotten.
 const DIALLED_MAX: usize = 10_000;
 /// Calls over which the mix of worths is remembered.
@@ -108,6 +110,10 @@
     /// The last reading of the wait in its line, and when.
     wait_ms: f64,
     wait_at: f64,
+    /// The last wait that this sender's own set-up met, when that was heard, and when the set-up was sent.
+    met_ms: f64,
+    met_at: f64,
+    met_sent: f64,
     /// What a set-up costs its processor, as reported, ms.
     service_ms: Option<f64>,
     /// The last report, to tell a fresh one from a repeat, and when this sender or a sibling told of one.
@@ -147,6 +153,9 @@
             set_at: now,
             wait_ms: 0.0,
             wait_at: now,
+            met_ms: 0.0,
+            met_at: now,
+            met_sent: f64::NEG_INFINITY,
             service_ms: None,
             last_report: LoadReport::default(),
             told_at: f64::NEG_INFINITY,
@@ -206,13 +215,21 @@
         sent < self.passed - ORDER_MS
     }
 
-    /// What is left of the last reading: a line works off at most the time since.
+    /// What is left of the last reading, or of what a set-up from here met: a line works off at most the time
+    /// since. Reports may be seconds late: they do not lower what was met here.
     fn left_of_read(&self, now: f64) -> f64 {
-        self.wait_ms - (now - self.wait_at)
+        (self.wait_ms - (now - self.wait_at)).max(self.met_ms - (now - self.met_at))
     }
 
     fn read_wait(&mut self, now: f64, wait: f64) {
-        (self.wait_ms, self.wait_at) = (wait.min(WAIT_MAX_MS), now);
+        (self.wait_ms, self.wait_at) = (line_of(wait), now);
+    }
+
+    /// A set-up sent then met this wait; only one sent later tells of a shorter line.
+    fn meet_wait(&mut self, now: f64, sent: f64, wait: f64) {
+        if sent >= self.met_sent {
+            (self.met_ms, self.met_at, self.met_sent) = (line_of(wait), now, sent);
+        }
     }
 
     /// A full processor is at u = 1.
@@ -240,7 +257,7 @@
         if let Some(i) = self.unanswered.iter().position(|&(id, _)| id == call) {
             let (_, sent) = self.unanswered.remove(i);
             if in_vain && !self.lost(sent) && now - sent > self.left_of_read(now) {
-                self.read_wait(now, now - sent);
+                self.meet_wait(now, sent, now - sent);
             }
         }
     }
@@ -453,8 +470,9 @@
         s.service_ms = told.or(s.service_ms);
         let wait = report.wait_ms.or(report.queue.map(|q| q * service));
         if let Some(wait) = wait {
-            // What was sent before the reported line, and its answer's turn in it, has passed or is lost.
-            s.passed = s.passed.max(now - 2.0 * wait - REPORT_AGE_MS);
+            // What was sent before the reported line, and its answer's turn in it, has passed or is lost. The
+            // report may be late itself: a set-up is not held lost sooner than a server silent.
+            s.passed = s.passed.max(now - 2.0 * wait - REPORT_AGE_MS - SILENT_MS);
             s.read_wait(now, wait);
         }
         let idle = [report.queue, report.utilisation, report.wait_ms, report.hold_back]
@@ -561,7 +579,8 @@
             }
             Outcome::ProcessorFull { wait_ms } => {
                 s.heard(now);
-                s.full_until = now + sane(wait_ms).unwrap_or(0.0).max(FULL_ONCE_MS);
+                s.full_until = now + FULL_ONCE_MS;
+                s.meet_wait(now, sent.unwrap_or(now), sane(wait_ms).unwrap_or(0.0));
                 s.count_full(now);
             }
             _ => {}
@@ -646,13 +665,14 @@
     }
 
     /// The share refused now. The paper's b presumes a steady line; a line with work in hand can take so much
-    /// less, down to nothing at the longest useful wait. A cold server has less capacity: μ is lower now.
+    /// less, at the longest useful wait what b's cap lets in: with nothing sent no news would come. A cold
+    /// server has less capacity: μ is lower now.
     fn refused_share(&self, now: f64, s: &Server) -> f64 {
         let most = self.useful_wait_ms();
         let easy = EASY_PART * most;
         let quickest = if self.quickest_ms.is_finite() { self.quickest_ms } else { FIRST_SERVICE_MS };
         let each = self.service_ms(s) * self.siblings();
-        let room = ((most - s.backlog_ms(now, quickest, each)) / (most - easy)).clamp(0.0, 1.0);
+        let room = ((most - s.backlog_ms(now, quickest, each)) / (most - easy)).clamp(1.0 - B_CAP, 1.0);
         (1.0 - (1.0 - s.b(now)) * room).max(1.0 - self.warmth(now, s)).max(self.short_of_lines(s))
     }
 
@@ -918,6 +938,7 @@
             s.heard(now);
             if let Some(ms) = sane(Some(after_ms)).filter(|&ms| ms > 0.0) {
                 self.quickest_ms = self.quickest_ms.min(ms);
+                s.meet_wait(now, sent.unwrap_or(now), (ms - self.quickest_ms - PASSING_MS).max(0.0));
                 if self.settings.reporting != Reporting::Answers {
                     s.read_wait(now, ms - self.quickest_ms);
                 }
@@ -972,6 +993,11 @@
     fastrand::Rng::with_seed(seed ^ id.0.rotate_left(20)).f64()
 }
 
+/// The line that a wait tells of, ms.
+fn line_of(wait: f64) -> f64 {
+    if wait < WAIT_MAX_MS { wait } else { STALL_MS }
+}
+
 /// A figure that is not finite or is below zero is absent.
 fn sane(value: Option<f64>) -> Option<f64> {
     value.filter(|v| v.is_finite() && *v >= 0.0)
