--- a/src/gather/mod.rs
+++ b/src/gather/mod.rs
@@ -27,6 +27,10 @@
 use survival::Belief;
 use worth::Worth;
 
+/// What is due within so short a time is due now: the sum of two times is not exact, and a host that asks at the
+/// very time it was told must not be sent back to it.
+const ROUNDING_MS: f64 = 0.001;
+
 /// An open gather, by the host's number.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
 pub struct GatherId(pub u64);
@@ -221,7 +225,7 @@
 
     /// Closes what is due, in order of the ids.
     pub fn poll(&mut self, now: f64, out: &mut Vec<Closed>) {
-        let due = |o: &Open| o.opened_at + o.due_ms <= now;
+        let due = |o: &Open| o.opened_at + o.due_ms <= now + ROUNDING_MS;
         let ids: Vec<GatherId> = self.open.iter().filter(|(_, o)| due(o)).map(|(id, _)| *id).collect();
         for id in ids {
             if self.over(now, id) {
@@ -303,7 +307,7 @@
         self.decide(now, id);
         let Some(open) = self.open.get_mut(&id) else { return false };
         let at = now - open.opened_at;
-        if open.due_ms > at {
+        if open.due_ms > at + ROUNDING_MS {
             return false;
         }
         if let Some(known) = self.known.get_mut(&open.key).filter(|_| open.explore) {
@@ -313,7 +317,7 @@
             open.look = Some(Look { net, spent });
             open.due_ms = until;
         }
-        open.due_ms <= at
+        open.due_ms <= at + ROUNDING_MS
     }
 
     fn close(&mut self, now: f64, id: GatherId) -> Option<Closed> {
