--- a/src/gather/learner.rs
+++ b/src/gather/learner.rs
@@ -8,15 +8,21 @@
 use super::settings::Settings;
 use super::survival::{Belief, Seen};
 use super::worth::Worth;
+use std::collections::VecDeque;
 
 /// A gather weighs as at most so many answers, so that a large one does not outweigh all others.
 const MOST_ANSWERS: f64 = 32.0;
+/// By so much for each answer the last few are better at any rate, as the prior weighs less in them, nats.
+const ORDINARY: f64 = 1.0 / 32.0;
 /// One gather moves the suspicion by at most so much, nats.
 const ONE_GATHER: f64 = 4.0;
 /// Suspicion stands above this, and ends once as much speaks for the usual: three odd gathers at the least.
 const SUSPICIOUS: f64 = 10.0;
 /// Gathers are put aside, not learned as usual, from this on.
 const DOUBTFUL: f64 = 3.0;
+/// So many gathers wait before they are learned as usual: those of a fault window that came before it was noticed
+/// are among them, and are dropped.
+const WAITING: usize = 4;
 /// Gathers before anything can be told from the usual.
 const WARM: u32 = 5;
 /// The first gathers all wait longer, as far as the balance lasts.
@@ -25,6 +31,7 @@
 pub struct Learner {
     usual: Seen,
     recent: Seen,
+    waiting: VecDeque<Seen>,
     usual_belief: Belief,
     recent_belief: Belief,
     learned: u32,
@@ -43,6 +50,7 @@
         Learner {
             usual: Seen::default(),
             recent: Seen::default(),
+            waiting: VecDeque::with_capacity(WAITING + 1),
             usual_belief: prior.clone(),
             recent_belief: prior.clone(),
             learned: 0,
@@ -115,13 +123,13 @@
     }
 
     /// Learns from a gather that was closed.
-    pub fn learn(&mut self, seen: &Seen, prior: &Belief, settings: &Settings) {
+    pub fn learn(&mut self, seen: Seen, prior: &Belief, settings: &Settings) {
         let fade = |half_life: f64| 0.5f64.powf(1.0 / half_life);
-        let odder = self.recent_belief.better_than(&self.usual_belief, seen).clamp(-ONE_GATHER, ONE_GATHER);
+        let odder = self.recent_belief.better_than(&self.usual_belief, &seen).clamp(-ONE_GATHER, ONE_GATHER);
         self.learned = self.learned.saturating_add(1);
-        self.recent.learn(seen, fade(settings.recent_half_life));
+        self.recent.learn(&seen, fade(settings.recent_half_life));
         if self.learned <= WARM {
-            self.usual.learn(seen, fade(settings.half_life));
+            self.usual.learn(&seen, fade(settings.half_life));
         } else if let Some((gathers, usual_again)) = self.odd {
             let (gathers, usual_again) = (gathers + 1, (usual_again - odder).max(0.0));
             self.odd = Some((gathers, usual_again));
@@ -136,14 +144,19 @@
                 self.put_aside += 1;
             }
         } else {
-            self.suspicion = (self.suspicion + odder).max(0.0);
+            self.suspicion = (self.suspicion + odder - ORDINARY * seen.answers()).max(0.0);
+            self.waiting.push_back(seen);
             if self.suspicion > SUSPICIOUS {
                 self.odd = Some((0, 0.0));
-            }
-            if self.suspicion < DOUBTFUL {
-                self.usual.learn(seen, fade(settings.half_life));
-            } else {
-                self.put_aside += 1;
+                self.put_aside += self.waiting.len() as u32;
+                self.waiting.clear();
+            } else if self.waiting.len() > WAITING {
+                let oldest = self.waiting.pop_front().unwrap_or_default();
+                if self.suspicion < DOUBTFUL {
+                    self.usual.learn(&oldest, fade(settings.half_life));
+                } else {
+                    self.put_aside += 1;
+                }
             }
         }
         self.usual_belief = self.usual.belief(prior, settings.prior.weight);
--- a/src/gather/mod.rs
+++ b/src/gather/mod.rs
@@ -12,6 +12,8 @@
 mod open;
 mod settings;
 mod survival;
+#[cfg(test)]
+mod tests;
 mod worth;
 
 pub use jobs::{JobEffect, JobEvent, JobPhase, Jobs, Occurrence, Report};
@@ -346,7 +348,7 @@
                 given_back = (look.spent - cost).max(0.0);
             }
             known.learner.earn(given_back, worth, &self.settings, &self.worth);
-            known.learner.learn(&open.seen(waited_ms, &self.grid), &self.prior, &self.settings);
+            known.learner.learn(open.seen(waited_ms, &self.grid), &self.prior, &self.settings);
         }
         Some(Closed {
             id,
--- a/src/gather/open.rs
+++ b/src/gather/open.rs
@@ -5,7 +5,7 @@
 use super::learner::Learner;
 use super::survival::{Belief, Seen};
 use super::worth::Worth;
-use super::{Key, Why};
+use super::{Key, ROUNDING_MS, Why};
 use crate::terms::Member;
 use std::collections::BTreeMap;
 
@@ -150,7 +150,8 @@
         let standing = self.standing(now);
         let best = best_stop(&standing, belief, worth, grid);
         let due = best.clamp(self.planned_ms / reach, self.planned_ms * reach).max(standing.at_ms);
-        let due = if due > standing.at_ms { due } else { due + self.rising_ms(standing.at_ms, worth, grid) };
+        let later = due > standing.at_ms + ROUNDING_MS;
+        let due = if later { due } else { due + self.rising_ms(standing.at_ms, worth, grid) };
         self.due_ms = due.min(cap_ms);
     }
 
@@ -160,7 +161,7 @@
         let first = bin.saturating_sub(1);
         let (since, came) = (at_ms - grid.edge(first), self.came[first..=bin].iter().sum::<u32>());
         let before = f64::from(self.arrived - came) / f64::from(self.expected.max(1));
-        let gain = worth.of(self.complete()) - worth.of(before);
+        let gain = worth.drawn(self.complete()) - worth.drawn(before);
         if came >= RISING && gain > worth.price(since) { since } else { 0.0 }
     }
 
--- a/src/gather/survival.rs
+++ b/src/gather/survival.rs
@@ -105,6 +105,11 @@
         seen
     }
 
+    /// How many answers were waited for, by weight.
+    pub fn answers(&self) -> f64 {
+        self.at_risk[0]
+    }
+
     /// Fades what is known by `keep` and adds what was seen.
     pub fn learn(&mut self, new: &Seen, keep: f64) {
         for bin in 0..BINS {
--- a/src/gather/worth.rs
+++ b/src/gather/worth.rs
@@ -15,9 +15,11 @@
 
     /// The worth of a share complete (0 to 1).
     pub fn of(&self, share: f64) -> f64 {
-        if share + 1e-9 < self.least {
-            return 0.0;
-        }
+        if share + 1e-9 < self.least { 0.0 } else { self.drawn(share) }
+    }
+
+    /// The same without the least share: what a result on its way there counts as.
+    pub fn drawn(&self, share: f64) -> f64 {
         let above = self.points.partition_point(|p| p.0 < share).clamp(1, self.points.len() - 1);
         let (a, b) = (self.points[above - 1], self.points[above]);
         let part = ((share - a.0) / (b.0 - a.0)).clamp(0.0, 1.0);
