--- a/src/reservations/tests.rs
+++ b/src/reservations/tests.rs
@@ -436,3 +436,58 @@
     fleet.run(1000);
     assert_eq!(fleet.nodes[2].listing().bookings[0].state, State::Cancelled);
 }
+
+/// What was answered as booked stays booked, and no more than the capacity is, whatever is cut, lost, doubled or
+/// restarted from its disk, and whoever is the grantor next.
+fn promises_hold(seed: u64) {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let disk = Settings { folder: Some("unused".into()), ..settings() };
+    let mut fleet = Fleet::new(&disk, BEFORE);
+    fleet.lossy = rng.bool();
+    fleet.grantor(0, 1);
+    let (mut epoch, mut asked) = (1, Vec::new());
+    for ticket in 0..60u64 {
+        match rng.u32(0..8) {
+            0 => fleet.cut = (0..3).filter(|_| rng.u32(0..3) == 0).collect(),
+            1 => {
+                // The one before may not have heard yet that it is the grantor no more.
+                epoch += 1;
+                fleet.input(rng.u16(0..3), Input::Mastership(Some(Epoch(epoch))));
+            }
+            2 => fleet.restart(rng.u16(0..3), &disk, true),
+            _ => {}
+        }
+        let id = rng.u32(0..30);
+        let team = if id % 2 == 0 { "bills" } else { "polls" };
+        let day = 2 + id % 3;
+        let request = job(team, &format!("j{id}"), &format!("2026-12-0{day}T09:00"), 60, 15.0);
+        asked.push(request.clone());
+        fleet.input(rng.u16(0..4), Input::Ask { ticket, wish: Wish::Book(request) });
+        if rng.bool() {
+            fleet.deliver();
+        }
+        fleet.run(u64::from(rng.u32(1..20)) * 50);
+    }
+    fleet.cut.clear();
+    (0..3).for_each(|node| fleet.input(node, Input::Mastership(None)));
+    fleet.grantor(rng.u16(0..3), epoch + 1);
+    fleet.run(10_000);
+    let booked = fleet.booked(0);
+    assert!((1..4).all(|node| fleet.booked(node) == booked), "seed {seed}");
+    for (ticket, answer) in &fleet.answers {
+        if matches!(answer, Answer::Booked(_)) {
+            let id = &asked[*ticket as usize].id;
+            assert_eq!(booked.iter().filter(|b| *b == id).count(), 1, "seed {seed}: {id}");
+        }
+    }
+    for day in 2..5 {
+        let on = |id: &&String| id[1..].parse::<u32>().unwrap() % 3 + 2 == day;
+        assert!(booked.iter().filter(on).count() <= 5, "seed {seed}: 15 each of 80");
+    }
+    assert!(!booked.is_empty() && fleet.notes.is_empty(), "seed {seed}: {:?}", fleet.notes);
+}
+
+#[test]
+fn promises_hold_whatever_is_cut_lost_or_restarted() {
+    (0..40).for_each(promises_hold);
+}
