--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -2,17 +2,22 @@
 //! the traffic.
 //!
 //! Sans-I/O like the engine: [`Control::step`] takes an event at a time on the process's monotonic clock (ms) and
-//! appends what is to be done, in order. It hosts the decision module `crate::shares` as the engine hosts `policy`,
-//! and puts its messages into datagrams ([`wire`]). Nothing here knows a call: the traffic side reads what was decided
+//! appends what is to be done, in order. It hosts the decision modules `crate::shares` and `crate::gather` as the
+//! engine hosts `policy`, and puts their messages into datagrams ([`wire`]). Nothing here knows a call: the traffic side reads what was decided
 //! from `crate::shares::Exchange`, and never waits for it.
 
+mod demand;
+mod rounds;
 pub mod settings;
 pub mod wire;
 
+pub use rounds::RoundFigures;
 pub use settings::ControlSettings;
 
 use crate::shares::{Input, Message, Output, ShareSettings, Shares};
 use crate::terms::{Budget, Demand, Epoch, Member, Part};
+use demand::Demands;
+use rounds::Rounds;
 use serde::{Deserialize, Serialize};
 use wire::{Dropped, Envelope};
 
@@ -62,7 +67,7 @@
 }
 
 /// What operators are shown of the control plane.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct ControlFigures {
     /// The grantor that is known of, and its epoch.
     pub master: Option<(Member, Epoch)>,
@@ -72,12 +77,18 @@
     pub dropped: Dropped,
     /// Messages too long for a datagram.
     pub too_long: u64,
+    /// The rounds that this instance opened as grantor.
+    pub rounds: RoundFigures,
 }
 
 pub struct Control {
     shares: Shares,
+    demands: Demands,
+    rounds: Rounds,
     envelope: Envelope,
     outputs: Vec<Output>,
+    /// When the last round was opened.
+    opened_at: f64,
     figures: ControlFigures,
 }
 
@@ -89,11 +100,17 @@
     pub fn new(settings: &ControlSettings, place: &Place, now: f64) -> Result<Self, String> {
         let shares = share_settings(settings, place.members);
         shares.check()?;
+        let demands = Demands::new(&shares.budgets, place.members, settings.round_ms);
+        let gather = settings.gather.clone().unwrap_or_default();
+        let rounds = Rounds::new(gather.rounds.unwrap_or_else(crate::gather::Settings::rounds), place.seed);
         let key = settings.key.as_ref().map(|key| key.0.as_slice());
         Ok(Control {
             shares: Shares::new(shares, place.me, place.seed, now),
+            demands,
+            rounds,
             envelope: Envelope::new(place.me, place.incarnation, key, settings.lease_ms),
             outputs: Vec::new(),
+            opened_at: now,
             figures: ControlFigures::default(),
         })
     }
@@ -106,7 +123,8 @@
 
     #[must_use]
     pub fn figures(&self) -> ControlFigures {
-        ControlFigures { master: self.shares.master(), dropped: self.envelope.dropped(), ..self.figures }
+        let (master, dropped) = (self.shares.master(), self.envelope.dropped());
+        ControlFigures { master, dropped, rounds: self.rounds.figures(), ..self.figures }
     }
 
     /// Takes one event at `now`, which never goes back.
@@ -119,19 +137,20 @@
                 self.figures.heard += 1;
                 Input::Heard { from, message }
             }
-            Event::Demand(demand) => Input::Demand(demand),
+            Event::Demand(demand) => Input::Demand(self.demands.told(demand)),
             Event::Leave => Input::Leave,
             Event::Tick => Input::Tick,
         };
         let mut outputs = std::mem::take(&mut self.outputs);
         self.shares.step(now, input, &mut outputs);
         for output in outputs.drain(..) {
-            self.act(output, out);
+            self.act(now, output, out);
         }
         self.outputs = outputs;
+        self.rounds.tick(now);
     }
 
-    fn act(&mut self, output: Output, out: &mut Vec<Effect>) {
+    fn act(&mut self, now: f64, output: Output, out: &mut Vec<Effect>) {
         match output {
             Output::Send { to, message } => match self.envelope.seal(&Body::Shares(message)) {
                 Ok(bytes) => {
@@ -146,8 +165,19 @@
             Output::Parts(parts) => out.push(Effect::Parts(parts)),
             Output::Mastership(epoch) => out.push(Effect::Mastership(epoch)),
             Output::Note(text) => out.push(Effect::Note(text)),
-            // The rounds' times serve whoever learns their deadline.
-            Output::RoundOpened { .. } | Output::RoundClosed { .. } | Output::RoundLate { .. } => {}
+            Output::RoundOpened { epoch, round, at, expected } => {
+                let deadline = self.rounds.opened(at, epoch.0, round, &expected);
+                self.shares.set_round_deadline(deadline);
+                self.opened_at = at;
+            }
+            Output::RoundClosed { epoch, round, arrivals, .. } => {
+                for (member, after_ms) in arrivals {
+                    self.rounds.heard(self.opened_at + after_ms, epoch.0, round, member);
+                }
+            }
+            Output::RoundLate { epoch, round, member, .. } => {
+                self.rounds.heard(now, epoch.0, round, member);
+            }
         }
     }
 }
--- a/src/control/settings.rs
+++ b/src/control/settings.rs
@@ -1,6 +1,7 @@
 //! The operator's file of the fleet's control plane (`deploy/control.yaml`), YAML; unknown keys are an error, so that a
 //! misspelt setting is not taken for an absent one. The file is read at the start, whole or not at all.
 
+use crate::gather::GatherSettings;
 use crate::terms::{Budget, BudgetId, Spending};
 use serde::Deserialize;
 use std::path::Path;
@@ -26,6 +27,9 @@
     /// Hexadecimal key of at least 16 bytes, the same at every instance: datagrams carry a keyed code. None: a checksum.
     #[serde(default)]
     pub key: Option<Key>,
+    /// How long the rounds wait, and jobs; none: rounds as `crate::gather::Settings::rounds` has them, jobs without end.
+    #[serde(default)]
+    pub gather: Option<GatherSettings>,
     pub budgets: Vec<BudgetSettings>,
 }
 
@@ -175,6 +179,9 @@
         if self.lease_ms < 3.0 * self.round_ms {
             return Err("lease_ms: at least three rounds (round_ms) are wanted".to_owned());
         }
+        if let Some(gather) = &self.gather {
+            gather.check()?;
+        }
         if self.budgets.is_empty() || self.budgets.len() >= usize::from(BudgetId::BOOKED) {
             return Err("budgets: at least one is wanted".to_owned());
         }
--- a/src/net/operators.rs
+++ b/src/net/operators.rs
@@ -249,6 +249,12 @@
     ] {
         let _ = writeln!(text, "# TYPE {name} {kind}\n{name} {value}");
     }
+    let r = &c.rounds;
+    let _ = writeln!(text, "# TYPE gw_control_rounds counter\ngw_control_rounds {}", r.rounds);
+    for (name, value) in [("complete", r.complete), ("waited_ms", r.waited_ms), ("planned_ms", r.planned_ms)]
+    {
+        let _ = writeln!(text, "# TYPE gw_control_round_{name} gauge\ngw_control_round_{name} {value:.3}");
+    }
     let _ = writeln!(text, "# TYPE gw_control_dropped counter");
     let dropped = &c.dropped;
     for (why, n) in [
