--- a/src/lab/caller.rs
+++ b/src/lab/caller.rs
@@ -405,7 +405,13 @@
         }
         std::thread::sleep(TICK);
     }
-    lock(&ledger).sent = true;
+    {
+        let mut ledger = lock(&ledger);
+        ledger.sent = true;
+        // What would come later still is not offered any more, and not waited for.
+        ledger.again.clear();
+        ledger.repeats = None;
+    }
     for reader in readers {
         let _ = reader.join();
     }
--- a/src/net/figures.rs
+++ b/src/net/figures.rs
@@ -5,7 +5,7 @@
 use prometheus_client::collector::Collector;
 use prometheus_client::encoding::text::encode_registry;
 use prometheus_client::encoding::{DescriptorEncoder, EncodeGaugeValue};
-use prometheus_client::metrics::MetricType;
+use prometheus_client::metrics::MetricType::{self, Counter, Gauge};
 use prometheus_client::registry::Registry;
 use std::fmt::Error;
 
@@ -27,24 +27,8 @@
 struct Scrape<'a>(DescriptorEncoder<'a>);
 
 impl Scrape<'_> {
-    /// A figure that counts up. It is written as a gauge is: the library puts `_total` behind the names of counters,
-    /// and these are scraped without.
-    fn count<'a, const N: usize>(
-        &mut self,
-        name: &str,
-        series: impl IntoIterator<Item = ([(&'a str, &'a str); N], u64)>,
-    ) -> Result<(), Error> {
-        self.figure(name, MetricType::Counter, series)
-    }
-
-    fn gauge<'a, const N: usize, V: EncodeGaugeValue>(
-        &mut self,
-        name: &str,
-        series: impl IntoIterator<Item = ([(&'a str, &'a str); N], V)>,
-    ) -> Result<(), Error> {
-        self.figure(name, MetricType::Gauge, series)
-    }
-
+    /// One figure, a line for each of its series. One that counts up is written as a gauge is: the library puts
+    /// `_total` behind the names of counters, and these are scraped without.
     fn figure<'a, const N: usize, V: EncodeGaugeValue>(
         &mut self,
         name: &str,
@@ -71,16 +55,16 @@
             [("passed", n.stood), ("dropped", n.refused), ("bad_gateway", n.failed)]
                 .map(|(outcome, n)| ([("category", class.as_str()), ("outcome", outcome)], n))
         });
-        scrape.count("handled", handled)?;
-        scrape.count("upstream_tries", [([], self.tries)])?;
-        scrape.gauge("in_progress", [([], self.in_progress)])?;
-        scrape.gauge("known_call_servers", [([], self.known)])?;
-        scrape.gauge("skipped_call_servers", [([], self.skipped)])?;
+        scrape.figure("handled", Counter, handled)?;
+        scrape.figure("upstream_tries", Counter, [([], self.tries)])?;
+        scrape.figure("in_progress", Gauge, [([], self.in_progress)])?;
+        scrape.figure("known_call_servers", Gauge, [([], self.known)])?;
+        scrape.figure("skipped_call_servers", Gauge, [([], self.skipped)])?;
         // Only where the fleet limits are on, so that a scrape of a program without them is as it was.
         if let Some(shed) = self.limits {
             let retries = [("sent", shed.retries_sent), ("shed", shed.retries)];
-            scrape.count("retries", retries.map(|(outcome, n)| ([("outcome", outcome)], n)))?;
-            scrape.count("first_attempts_shed", [([], shed.firsts_shed)])?;
+            scrape.figure("retries", Counter, retries.map(|(outcome, n)| ([("outcome", outcome)], n)))?;
+            scrape.figure("first_attempts_shed", Counter, [([], shed.firsts_shed)])?;
         }
         self.recovery.as_ref().map_or(Ok(()), |recovery| sites(recovery, &mut scrape))
     }
@@ -93,11 +77,11 @@
         [State::Up, State::Lost, State::Returning]
             .map(|state| ([site, ("state", state.name())], u64::from(s.state == state)))
     });
-    scrape.gauge("site_state", states)?;
-    scrape.gauge("site_share", of_each().map(|(labels, s)| (labels, rounded(s.share))))?;
-    scrape.count("site_calls_moved", of_each().map(|(labels, s)| (labels, s.moved)))?;
-    scrape.count("no_room_refused", [([], recovery.refused)])?;
-    scrape.gauge("no_room_share", [([], rounded(recovery.refused_share))])
+    scrape.figure("site_state", Gauge, states)?;
+    scrape.figure("site_share", Gauge, of_each().map(|(labels, s)| (labels, rounded(s.share))))?;
+    scrape.figure("site_calls_moved", Counter, of_each().map(|(labels, s)| (labels, s.moved)))?;
+    scrape.figure("no_room_refused", Counter, [([], recovery.refused)])?;
+    scrape.figure("no_room_share", Gauge, [([], rounded(recovery.refused_share))])
 }
 
 #[cfg(test)]
