--- a/src/codec/mod.rs
+++ b/src/codec/mod.rs
@@ -1,3 +1,6 @@
-//! Codecs of the fronts that are not the platform's own: the H.248-style text form.
+//! Codecs: the fronts that are not the platform's own (the H.248-style text form), peers' datagrams, and what
+//! the codecs share.
 
+pub mod common;
 pub mod h248;
+pub mod peers;
--- a/src/engine/messages.rs
+++ b/src/engine/messages.rs
@@ -80,6 +80,12 @@
     pub limits: Option<crate::limits::Shed>,
     /// The sites, where there is a plan for their loss.
     pub recovery: Option<crate::recovery::RecoveryFigures>,
+    /// This instance's parts of the fleet's budgets, where there are some.
+    pub shares: Option<super::ShareFigures>,
+    /// Messages between border controllers, where they are on.
+    pub peers: Option<PeerFigures>,
+    /// Probes of call servers, where they are allowed.
+    pub probes: Option<ProbeFigures>,
 }
 
 /// A set-up as its caller sent it.
@@ -165,6 +171,8 @@
     /// Full; `lines`: it was a line that lacked.
     Full {
         lines: bool,
+        /// The wait at its processor, where it told one.
+        waited_ms: Option<u32>,
     },
     Error,
     /// It never left.
@@ -186,25 +194,88 @@
         report: LoadReport,
     },
     State(LoadReport),
+    /// A test was answered; `passed` with a report, else the call server had no room for it.
+    Tested {
+        test: CallId,
+        passed: bool,
+        report: LoadReport,
+    },
     /// It means nothing but that the call server is there.
     Sign,
 }
 
 #[derive(Clone, Debug, PartialEq)]
 pub enum ToServer {
-    SetUp { call: CallId, class: String, left_ms: u64, number: Option<String>, description: String },
+    SetUp {
+        call: CallId,
+        class: String,
+        left_ms: u64,
+        number: Option<String>,
+        description: String,
+    },
     Release(CallId),
     Heard(CallId),
+    /// A test under this id, which is no call's.
+    Test(CallId),
 }
 
 impl ToServer {
     pub fn call(&self) -> CallId {
         match self {
-            ToServer::SetUp { call, .. } | ToServer::Release(call) | ToServer::Heard(call) => *call,
+            ToServer::SetUp { call, .. } => *call,
+            ToServer::Release(id) | ToServer::Heard(id) | ToServer::Test(id) => *id,
         }
     }
 }
 
+/// What one border controller tells the others of a call server.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct PeerReport {
+    /// Unix millisecond of the sender's start: a later one is another process.
+    pub born_ms: u64,
+    /// How long after its start it was sent, ms.
+    pub age_ms: u32,
+    /// Counted from 1 by each sender.
+    pub seq: u32,
+    /// The call server's name in the list.
+    pub server: String,
+    /// Its processor's figures; free lines are each border controller's own.
+    pub report: LoadReport,
+}
+
+/// Datagrams between border controllers, since the start: those sent, and those heard by what became of them.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PeerFigures {
+    /// Sent, and not sent: too many, too long, or not taken by the system.
+    pub sent: u64,
+    pub unsent: u64,
+    /// Heard from a peer, and those whose word the module heard.
+    pub heard: u64,
+    pub taken: u64,
+    /// Dropped: of no peer's address; beyond a peer's pace; of unknown kind; damaged; no room in the queue.
+    pub stranger: u64,
+    pub paced: u64,
+    pub unknown: u64,
+    pub damaged: u64,
+    pub crowded: u64,
+    /// Dropped: sent too long ago; doubled, overtaken or of an earlier process; of a call server not listed here.
+    pub late: u64,
+    pub old: u64,
+    pub unlisted: u64,
+    /// Kept, but no other voice bears it out yet.
+    pub alone: u64,
+}
+
+/// Probes since the start: those sent, and how they ended.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ProbeFigures {
+    pub sent: u64,
+    pub answered: u64,
+    pub turned_away: u64,
+    /// Not answered in time, or with no connection to send it on.
+    pub failed: u64,
+}
+
 /// One call server in the name service's list.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Listing {
@@ -268,6 +339,11 @@
     },
     /// A timer may be due.
     Tick,
+    /// A border controller, by its place among them, tells what it heard of a call server.
+    Peer {
+        from: u16,
+        told: PeerReport,
+    },
     /// The configuration was read again.
     Settings {
         settings: Settings,
@@ -303,6 +379,8 @@
         confirm: bool,
     },
     CloseServer(ServerConn),
+    /// To every other border controller; it may be lost.
+    ToPeers(PeerReport),
     /// To be written to the audit log before any effect beside it is carried out.
     Record(crate::audit::Record),
     ToOperator {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -28,11 +28,14 @@
 //! ```
 
 pub mod audit;
+pub mod clock;
 pub mod codec;
 pub mod config;
+pub mod control;
 pub mod engine;
 pub mod fleet_audit;
 pub mod fronts;
+pub mod gather;
 pub mod interface;
 pub mod lab;
 pub mod limits;
@@ -40,7 +43,9 @@
 pub mod net;
 pub mod policy;
 pub mod recovery;
+pub mod reservations;
 pub mod settings;
+pub mod shares;
 pub mod terms;
 pub mod version;
 pub mod worth;
--- a/src/net/figures.rs
+++ b/src/net/figures.rs
@@ -1,6 +1,6 @@
 //! The figures in Prometheus's text format.
 
-use crate::engine::Figures;
+use crate::engine::{Figures, PeerFigures, ShareFigures};
 use crate::recovery::{RecoveryFigures, State};
 use prometheus_client::collector::Collector;
 use prometheus_client::encoding::text::encode_registry;
@@ -66,10 +66,63 @@
             scrape.figure("retries", Counter, retries.map(|(outcome, n)| ([("outcome", outcome)], n)))?;
             scrape.figure("first_attempts_shed", Counter, [([], shed.firsts_shed)])?;
         }
+        // Only where the settings allow messages and probes.
+        if let Some(told) = &self.peers {
+            peers(told, &mut scrape)?;
+        }
+        if let Some(shared) = &self.shares {
+            shares(shared, &mut scrape)?;
+        }
+        if let Some(p) = self.probes {
+            scrape.figure("probes_sent", Counter, [([], p.sent)])?;
+            let ended = [("answered", p.answered), ("turned_away", p.turned_away), ("failed", p.failed)];
+            scrape.figure("probes_ended", Counter, ended.map(|(outcome, n)| ([("outcome", outcome)], n)))?;
+        }
         self.recovery.as_ref().map_or(Ok(()), |recovery| sites(recovery, &mut scrape))
     }
 }
 
+/// The fleet's budgets and the control plane that divides them, where it is on.
+fn shares(shared: &ShareFigures, scrape: &mut Scrape) -> Result<(), Error> {
+    let of_each = || shared.budgets.iter().map(|b| ([("budget", b.name.as_str())], b));
+    scrape.figure("share_per_s", Gauge, of_each().map(|(labels, b)| (labels, b.per_s)))?;
+    scrape.figure("share_burst", Gauge, of_each().map(|(labels, b)| (labels, b.burst)))?;
+    scrape.figure("share_spent", Counter, of_each().map(|(labels, b)| (labels, b.spent)))?;
+    scrape.figure("share_refused", Counter, of_each().map(|(labels, b)| (labels, b.refused)))?;
+    scrape.figure("share_pressed_refused", Counter, [([], shared.pressed)])?;
+    let c = &shared.control;
+    let (master, epoch) = c.master.map_or((-1, 0), |(member, epoch)| (i64::from(member.0), epoch.0));
+    scrape.figure("control_master", Gauge, [([], master)])?;
+    scrape.figure("control_epoch", Gauge, [([], epoch)])?;
+    scrape.figure("control_sent", Counter, [([], c.sent)])?;
+    scrape.figure("control_heard", Counter, [([], c.heard)])?;
+    scrape.figure("control_too_long", Counter, [([], c.too_long)])?;
+    let d = &c.dropped;
+    let dropped =
+        [("malformed", d.malformed), ("version", d.version), ("code", d.code), ("replayed", d.replayed)];
+    scrape.figure("control_dropped", Counter, dropped.map(|(why, n)| ([("why", why)], n)))
+}
+
+/// Messages between border controllers.
+fn peers(p: &PeerFigures, scrape: &mut Scrape) -> Result<(), Error> {
+    scrape.figure("peer_datagrams_sent", Counter, [([], p.sent)])?;
+    scrape.figure("peer_datagrams_unsent", Counter, [([], p.unsent)])?;
+    scrape.figure("peer_datagrams_heard", Counter, [([], p.heard)])?;
+    scrape.figure("peer_words_taken", Counter, [([], p.taken)])?;
+    let dropped = [
+        ("stranger", p.stranger),
+        ("paced", p.paced),
+        ("unknown", p.unknown),
+        ("damaged", p.damaged),
+        ("crowded", p.crowded),
+        ("late", p.late),
+        ("old", p.old),
+        ("unlisted", p.unlisted),
+        ("alone", p.alone),
+    ];
+    scrape.figure("peer_datagrams_dropped", Counter, dropped.map(|(why, n)| ([("why", why)], n)))
+}
+
 /// The sites' part of the figures, where there is a plan for their loss.
 fn sites(recovery: &RecoveryFigures, scrape: &mut Scrape) -> Result<(), Error> {
     let of_each = || recovery.sites.iter().map(|s| ([("site", s.site.as_str())], s));
--- a/tests/lab/audit.rs
+++ b/tests/lab/audit.rs
@@ -39,8 +39,12 @@
         places: 1,
         limits: None,
         sites: None,
+        control: None,
+        log: None,
         management: true,
         audit: true,
+        links: None,
+        probing: false,
     };
     let instance =
         |i: usize| start(&orders, &folder.path().join(format!("n{i}")), i, list(server.addr)).unwrap();
