--- a/src/net/figures.rs
+++ b/src/net/figures.rs
@@ -97,6 +97,11 @@
     scrape.figure("control_sent", Counter, [([], c.sent)])?;
     scrape.figure("control_heard", Counter, [([], c.heard)])?;
     scrape.figure("control_too_long", Counter, [([], c.too_long)])?;
+    let r = &c.rounds;
+    scrape.figure("control_rounds", Counter, [([], r.rounds)])?;
+    scrape.figure("control_round_complete", Gauge, [([], rounded(r.complete))])?;
+    scrape.figure("control_round_waited_ms", Gauge, [([], rounded(r.waited_ms))])?;
+    scrape.figure("control_round_planned_ms", Gauge, [([], rounded(r.planned_ms))])?;
     let d = &c.dropped;
     let dropped =
         [("malformed", d.malformed), ("version", d.version), ("code", d.code), ("replayed", d.replayed)];
--- a/src/reservations/tests.rs
+++ b/src/reservations/tests.rs
@@ -458,7 +458,7 @@
             _ => {}
         }
         let id = rng.u32(0..30);
-        let team = if id % 2 == 0 { "bills" } else { "polls" };
+        let team = if id.is_multiple_of(2) { "bills" } else { "polls" };
         let day = 2 + id % 3;
         let request = job(team, &format!("j{id}"), &format!("2026-12-0{day}T09:00"), 60, 15.0);
         asked.push(request.clone());
