--- a/src/engine/fleet.rs
+++ b/src/engine/fleet.rs
@@ -207,7 +207,10 @@
         self.close_all(id, out);
         self.end_waiting(id, Outcome::NotSent);
         self.fleet.servers.remove(&id);
+        self.forget_words(id);
+        self.forget_probes(id);
         self.fleet.ids.retain(|_, known| *known != id);
+        self.forget_dials(id);
         if let Some(limits) = self.limits.as_mut() {
             limits.forget(id);
         }
@@ -225,9 +228,11 @@
     }
 
     pub(super) fn dial(&mut self, server: ServerId, out: &mut Vec<Effect>) {
-        let Some(s) = self.fleet.servers.get_mut(&server).filter(|s| s.conns.len() < CONNS_MAX) else {
+        let room = self.fleet.servers.get(&server).is_some_and(|s| s.conns.len() < CONNS_MAX);
+        if !room || !self.may_dial(server) {
             return;
-        };
+        }
+        let Some(s) = self.fleet.servers.get_mut(&server) else { return };
         self.fleet.dialled += 1;
         let conn = ServerConn(self.fleet.dialled);
         let (now, passed) = (self.now, f64::NEG_INFINITY);
@@ -317,6 +322,7 @@
             lived_ms = self.now - s.conns.remove(i).opened_at;
         }
         self.end_on(conn);
+        self.probes_lost(conn);
         Some((server, lived_ms))
     }
 
@@ -350,8 +356,12 @@
             }
         }
         self.site_heard(server);
-        if let FromServer::Ended { report, .. } | FromServer::State(report) = &message {
+        if let FromServer::Ended { report, .. }
+        | FromServer::State(report)
+        | FromServer::Tested { report, .. } = &message
+        {
             self.site_report(server, report);
+            self.note_own_report(server, report);
         }
         // A connection that opens and is cut before a word does not count as reaching the call server.
         if let Some(limits) = self.limits.as_mut() {
@@ -373,6 +383,7 @@
                 self.news.push_back(module::Event::Lines { server, report });
                 self.close_mute(server, conn, out);
             }
+            FromServer::Tested { test, passed, report } => self.probe_answered(conn, test, passed, report),
             FromServer::Sign => {}
         }
     }
@@ -390,7 +401,7 @@
             FromServer::Answer { call, description } => {
                 self.answered_by(server, conn, call, description, out)
             }
-            FromServer::State(_) | FromServer::Sign => {}
+            FromServer::State(_) | FromServer::Tested { .. } | FromServer::Sign => {}
         }
     }
 
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -11,10 +11,16 @@
 mod liveness;
 mod messages;
 mod operators;
+mod peers;
+mod probes;
 mod recovery;
+mod shares;
+#[cfg(test)]
+mod tests;
 mod timers;
 
 pub use messages::*;
+pub use shares::{BudgetFigures, ShareFigures};
 
 use crate::audit::{Decision, Record};
 use crate::interface::{self as module, Action, CallId, Outcome, ServerId, Settings};
@@ -25,6 +31,8 @@
 use callers::Callers;
 use calls::Calls;
 use fleet::Fleet;
+use peers::Peers;
+use probes::Probes;
 use std::collections::VecDeque;
 use timers::Timers;
 
@@ -47,6 +55,9 @@
     /// No connection came up for this attempt in time.
     DialOver(CallId, u32),
     Redial(ServerId),
+    /// A probe's turn, and the end of a probe's time.
+    Probe(ServerId),
+    ProbeOver(u64),
     /// The caller's connection should have asked something by now.
     CallerSilent(CallerConn),
     Look,
@@ -74,7 +85,14 @@
     limits: Option<Limits>,
     /// The plan for the loss of a site, where the operator's file has one, and when its next turn is due.
     recovery: Option<Recovery>,
+    /// What the other border controllers tell, where messages are allowed.
+    peers: Option<Peers>,
+    /// Probes out, where they are allowed.
+    may_probe: bool,
+    probes: Probes,
     sites_turn: Option<f64>,
+    /// This instance's parts of the fleet's budgets, where the operator's file has some.
+    shares: Option<shares::Parts>,
     callers: Callers,
     calls: Calls,
     fleet: Fleet,
@@ -112,7 +130,11 @@
             worths: worths(&settings),
             limits: None,
             recovery: None,
+            peers: None,
+            may_probe: settings.may_probe,
+            probes: Probes::default(),
             sites_turn: None,
+            shares: None,
             controller: Controller::new(settings, seed, now),
             host,
             callers: Callers::default(),
@@ -178,6 +200,7 @@
             Event::List { serial, servers } => self.follow_list(serial, servers, out),
             Event::Settings { settings, host } => self.follow_settings(settings, host),
             Event::Tick => {}
+            Event::Peer { from, told } => self.hear_peer(from, told),
             Event::Operator { conn, ask } => self.hear_operator(conn, ask, out),
             Event::Stop { successor } => self.stop(successor, out),
         }
@@ -217,10 +240,8 @@
             Action::Fail(call) => self.answer(call, ToCaller::Failed(call), out),
             Action::Timer { at, token } => self.timers.set(at, Due::Module(token)),
             Action::Log(text) => log::info!("{text}"),
-            // Border controllers may not probe here and share nothing; the settings tell the module so.
-            Action::Probe(_) | Action::TellAll { .. } => {
-                log::error!("the module asked for what is not allowed")
-            }
+            Action::TellAll { server, report } => self.tell_peers(server, report, out),
+            Action::Probe(server) => self.test_server(server, out),
         }
     }
 
@@ -235,6 +256,8 @@
             }
             Due::DialOver(call, attempt) => self.dial_over(call, attempt),
             Due::Redial(server) => self.redial(server, out),
+            Due::Probe(server) => self.send_probe(server, out),
+            Due::ProbeOver(id) => self.probe_over(id),
             Due::CallerSilent(conn) => self.caller_silent(conn, out),
             Due::Look => {
                 self.look(out);
@@ -256,6 +279,7 @@
             return log::error!("other classes need a restart: the settings stay as they were");
         }
         (self.guard_ms, self.max_attempts, self.host) = (settings.guard_ms, settings.max_attempts, host);
+        self.may_probe = settings.may_probe;
         (self.siblings, self.stay_away_max_ms) = (settings.siblings, settings.stay_away_max_ms);
         self.worths = worths(&settings);
         self.news.push_back(module::Event::Settings(settings));
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -2,28 +2,30 @@
 
 use super::listeners::{self, Heirs};
 use super::servers::Order;
-use super::{WRITE_QUEUE, callers, names, operators, servers};
+use super::{WRITE_QUEUE, callers, control, names, operators, peers, servers};
 use crate::audit::{AuditSettings, Writer};
+use crate::clock::{Clock, PULSE};
 use crate::codec::h248::{callers::CallerCodec, servers::ServerCodec};
+use crate::codec::peers::{self as datagrams, DATAGRAM_MAX};
 use crate::config::{Config, Source};
+use crate::control::{ControlSettings, Place};
 use crate::engine::{
-    CallerConn, Effect, Engine, Event, OperatorAnswer, OperatorAsk, OperatorConn, ServerConn, Standing,
-    ToCaller,
+    CallerConn, Effect, Engine, Event, OperatorAnswer, OperatorAsk, OperatorConn, PeerReport, ServerConn,
+    Standing, ToCaller,
 };
 use crate::fronts::Fronts;
 use crate::limits::{LimitSettings, Limits};
 use crate::logger;
 use crate::recovery::{Recovery, SiteSettings};
+use crate::terms::Member;
 use crate::version::{Status, Version};
-use std::cell::Cell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::rc::Rc;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, oneshot, watch};
-use tokio::task::{JoinSet, LocalSet};
+use tokio::task::{AbortHandle, JoinSet, LocalSet};
 use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
 
 /// Events that may wait for the reducer; a connection that has more to say waits.
@@ -36,27 +38,6 @@
 const LAST_WRITES: Duration = Duration::from_secs(2);
 /// No descriptor is free: the next connection is taken up after this.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-/// How often it is noted that the loop turns; a message read after a stall may have lain for all of it.
-const PULSE: Duration = Duration::from_millis(10);
-
-/// Unix milliseconds, and how long the loop last stood still.
-#[derive(Clone, Default)]
-pub struct Clock {
-    pulse: Rc<Cell<Option<f64>>>,
-}
-
-impl Clock {
-    pub fn now(&self) -> f64 {
-        SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64() * 1000.0
-    }
-
-    /// When what is read now may have come in: a stalled loop reads late, and callers count from their send.
-    pub fn read_at(&self) -> f64 {
-        let now = self.now();
-        let turning = self.pulse.get().map_or(now, |at| at + 2.0 * PULSE.as_secs_f64() * 1000.0);
-        now.min(turning)
-    }
-}
 
 /// The decision modules beside percent blocking that the operator's files turn on; none of them by default.
 #[derive(Debug, Default)]
@@ -65,6 +46,8 @@
     pub limits: Option<LimitSettings>,
     /// The plan for the loss of a site.
     pub sites: Option<SiteSettings>,
+    /// The fleet's control plane.
+    pub control: Option<ControlSettings>,
     /// The audit record.
     pub audit: Option<AuditSettings>,
     /// What the process acts on.
@@ -82,7 +65,7 @@
     mut config: Config,
     source: Source,
     fronts: Fronts,
-    decisions: Decisions,
+    mut decisions: Decisions,
 ) -> Result<(), String> {
     // First of all: a SIGHUP without a handler ends the program.
     let mut hangups = signal(SignalKind::hangup()).map_err(|e| format!("signals: {e}"))?;
@@ -100,7 +83,18 @@
         }
         None => None,
     };
-    let mut driver = Driver::new(&config, sender.clone(), names, fronts, decisions)?;
+    let fleet = control_plane(&config, decisions.control.take())?;
+    let mut driver = Driver::new(&config, sender.clone(), names, fronts, decisions, fleet.as_ref())?;
+    if let Some(peering) = &config.peering {
+        let at = peering.listen;
+        let queue = fleet.as_ref().map(control::Ready::queue);
+        let peers = peers::Peers::bind(peering, queue).map_err(|e| format!("peers at {at}: {e}"))?;
+        log::info!("peers on {}", peers.addr().map_err(|e| format!("peers at {at}: {e}"))?);
+        let sending = peers.sender();
+        let hearing = tokio::task::spawn_local(peers.listen(sender.clone())).abort_handle();
+        driver.control = fleet.map(|fleet| fleet.start(sending.clone())).transpose()?;
+        driver.peers = Some((sending, hearing));
+    }
     tokio::task::spawn_local(beat(driver.clock.clone()));
     tokio::task::spawn_local(names::poll(at, config.seed, sender));
     let listening = listener.local_addr().map_err(|e| format!("listening: {e}"))?;
@@ -149,12 +143,36 @@
     Ok(())
 }
 
+/// The control plane, ready for its socket, where the operator's file turns it on and there is anybody to speak with.
+fn control_plane(
+    config: &Config,
+    settings: Option<ControlSettings>,
+) -> Result<Option<control::Ready>, String> {
+    let Some(settings) = settings else { return Ok(None) };
+    let Some(peering) = &config.peering else {
+        log::warn!(
+            "the control plane stays off: the configuration allows no messages to peers, or names none"
+        );
+        return Ok(None);
+    };
+    log::info!("control plane on: {settings:?}");
+    let count = |n: usize| u16::try_from(n).map_err(|_| format!("{n} peers are too many"));
+    let incarnation = Clock::default().now().max(0.0) as u64;
+    let place = Place {
+        me: Member(count(peering.own)?),
+        members: count(peering.peers.len())?,
+        incarnation,
+        seed: config.seed ^ incarnation.wrapping_mul(0x9e37_79b9_7f4a_7c15),
+    };
+    control::Ready::new(settings, place, control::Monotonic::start()).map(Some)
+}
+
 async fn beat(clock: Clock) {
     let mut ticks = interval(PULSE);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
-        clock.pulse.set(Some(clock.now()));
+        clock.beat();
     }
 }
 
@@ -187,6 +205,10 @@
     effects: Vec<Effect>,
     exiting: bool,
     fronts: Fronts,
+    /// The socket to the other border controllers, and the task that hears them, where messages are allowed.
+    peers: Option<(peers::Sender, AbortHandle)>,
+    /// The control plane's thread, where the operator's file turns it on.
+    control: Option<control::Handle>,
 }
 
 /// What a caller's connection speaks.
@@ -203,6 +225,7 @@
         names: watch::Sender<SocketAddr>,
         fronts: Fronts,
         decisions: Decisions,
+        fleet: Option<&control::Ready>,
     ) -> Result<Self, String> {
         let clock = Clock::default();
         let mut engine = Engine::new(config.settings.clone(), config.host.clone(), config.seed, clock.now());
@@ -214,6 +237,12 @@
             log::info!("plan for the loss of a site on: {settings:?}");
             engine = engine.with_recovery(Recovery::new(settings, config.seed));
         }
+        if config.peering.is_some() {
+            engine = engine.with_peers();
+        }
+        if let Some(fleet) = fleet {
+            engine = fleet.turn_on(engine, config.seed);
+        }
         let (name, version) = (config.name.clone(), decisions.version);
         logger::act_on(&version);
         let mut audit = None;
@@ -246,6 +275,8 @@
             effects: Vec::new(),
             exiting: false,
             fronts,
+            peers: None,
+            control: None,
         })
     }
 
@@ -310,6 +341,9 @@
         if new.listen != started.listen {
             log::warn!("listening on {} needs a restart", new.listen);
         }
+        if new.peering != started.peering {
+            log::warn!("other peers need a restart");
+        }
         self.callers_max = new.host.callers_max;
         // Also if it is the same address: the socket is a new one then, and asks at once.
         self.names.send_replace(new.names);
@@ -332,6 +366,9 @@
         if ended {
             while self.tasks.try_join_next().is_some() {}
         }
+        if let Some(control) = &self.control {
+            self.engine.monotonic(control.now());
+        }
         let mut effects = std::mem::take(&mut self.effects);
         self.engine.step(self.clock.now(), event, &mut effects);
         self.keep_records(&mut effects);
@@ -382,6 +419,7 @@
             Effect::CloseServer(conn) => {
                 self.servers.remove(&conn);
             }
+            Effect::ToPeers(told) => self.tell_peers(&told),
             // Written already, where there is an audit log.
             Effect::Record(_) => {}
             Effect::ToOperator { conn, answer } => {
@@ -389,6 +427,15 @@
                     OperatorAnswer::Standing(standing) => {
                         OperatorAnswer::Status(Box::new(self.status(standing)))
                     }
+                    OperatorAnswer::Figures(mut figures) => {
+                        if let (Some(peers), Some((sending, _))) = (&mut figures.peers, &self.peers) {
+                            sending.add_to(peers);
+                        }
+                        if let (Some(shares), Some(control)) = (&mut figures.shares, &self.control) {
+                            shares.control = control.figures();
+                        }
+                        OperatorAnswer::Figures(figures)
+                    }
                     other => other,
                 };
                 // Nobody waits for it if the operator has hung up.
@@ -398,6 +445,16 @@
         }
     }
 
+    fn tell_peers(&self, told: &PeerReport) {
+        let Some((sending, _)) = &self.peers else { return };
+        match datagrams::write(told, &mut [0; DATAGRAM_MAX]) {
+            Ok(datagram) => {
+                sending.to_all(datagram);
+            }
+            Err(e) => log::debug!("nothing told of {}: {e:?}", told.server),
+        }
+    }
+
     fn status(&self, standing: Standing) -> Status {
         Status {
             name: self.name.clone(),
@@ -437,6 +494,13 @@
                 self.accept(stream, Speech::Text);
             }
         }
+        // What peers send is for the successor alone from now on: both would get a part of it.
+        if successor && let Some((_, hearing)) = self.peers.take() {
+            hearing.abort();
+        }
+        if let Some(control) = &self.control {
+            control.leave();
+        }
         self.step(Event::Stop { successor });
     }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,16 +1,17 @@
-//! Sockets: the codecs and connections of callers, call servers, operators and the name service, and what drives them.
+//! Sockets: the codecs and connections of callers, call servers, operators, peers and the name service, and what drives them.
 
 pub mod callers;
+pub mod control;
 pub mod driver;
+pub mod figures;
 pub mod listeners;
 pub mod names;
 pub mod operators;
+pub mod peers;
 pub mod servers;
 
 use std::time::{Duration, Instant};
 
-/// A message holds at most so many bytes, on every connection.
-pub const MESSAGE_MAX: usize = 16 * 1024;
 /// A peer that takes nothing for so long is given up.
 const WRITE_STALL: Duration = Duration::from_secs(10);
 /// Looks for half a message that goes no further. Once it has lain so long with nothing whole between, it ends its
--- a/tests/lab/fleet.rs
+++ b/tests/lab/fleet.rs
@@ -53,8 +53,12 @@
         places: 2,
         limits,
         sites: None,
+        control: None,
+        log: None,
         management: false,
         audit: false,
+        links: None,
+        probing: false,
     };
     let listed = |(place, (id, addr)): (usize, (&str, SocketAddr))| Listed {
         id: id.into(),
