Send nothing on a connection that a call server has no room for, and ask for no more

The trace of two instances: 392 set-ups turned away as full without a report, 391 of them on a connection that the call server then closed; the processors turned none away (0), lines lacked for 198. Call servers hold few connections; the second one to a server in use (look_for_spare, look_at_stuck) is one too many once 270 instances want theirs. in_turn gave it every second set-up, server_lost dialled it again at once, and the module took each for a full processor.

Change: a set-up that comes back unlooked at on a fresh connection, with another open, is told to the module as not sent; that connection carries no more set-ups; when it closes it is not replaced, and none is asked for beside the others for 10 s, doubling to 160 s. A second connection is wanted only where two set-ups went within 2 s.

--- a/src/engine/answers.rs
+++ b/src/engine/answers.rs
@@ -81,7 +81,11 @@
             return self.over_unseen(conn, id, report, out);
         }
         if attempt.stage == Stage::Out(on) {
+            let unlooked = matches!(how, Ending::Full { lines: false, waited_ms: None })
+                && report == LoadReport::default();
+            let turned_away = unlooked && on == conn && self.turned_away(server, conn);
             let outcome = match how {
+                Ending::Full { .. } if turned_away => Outcome::NotSent,
                 Ending::Full { lines: true, .. } => Outcome::NoLine,
                 Ending::Full { lines: false, waited_ms } => {
                     Outcome::ProcessorFull { wait_ms: waited_ms.map(f64::from) }
@@ -90,7 +94,9 @@
                 Ending::Reset => Outcome::Reset,
                 Ending::Error | Ending::Normal => Outcome::Fault,
             };
-            self.passed_on(server, conn, sent_at);
+            if !turned_away {
+                self.passed_on(server, conn, sent_at);
+            }
             self.end_attempt(id, outcome, report);
         }
     }
--- a/src/engine/fleet.rs
+++ b/src/engine/fleet.rs
@@ -26,6 +26,8 @@
     pub(super) told_at: f64,
     /// It had this turn among the set-ups.
     pub(super) turn: u64,
+    /// A set-up on it was turned away unlooked at: the call server has no room for one more connection.
+    pub(super) turned_away: bool,
 }
 
 pub(super) struct Server {
@@ -41,8 +43,12 @@
     pub(super) failed: u32,
     /// It cut a connection at once, and has said nothing since.
     pub(super) cut_short: bool,
-    /// When a set-up last went there, and when a connection was last asked for.
+    /// When the last two set-ups went there, the later one first, and when a connection was last asked for.
     pub(super) used_at: f64,
+    pub(super) used_before_at: f64,
+    /// No connection beside the open ones is asked for before then, and for how long the last ban was, ms.
+    pub(super) crowded_until: f64,
+    pub(super) crowded_ms: f64,
     /// The first set-up that went there since it last said anything.
     pub(super) waits_since: Option<f64>,
     pub(super) dialled_at: f64,
@@ -171,6 +177,9 @@
                 failed: 0,
                 cut_short: false,
                 used_at: f64::NEG_INFINITY,
+                used_before_at: f64::NEG_INFINITY,
+                crowded_until: f64::NEG_INFINITY,
+                crowded_ms: 0.0,
                 waits_since: None,
                 dialled_at: now,
                 owed: Vec::new(),
@@ -246,6 +255,7 @@
             passed,
             told_at: passed,
             turn: 0,
+            turned_away: false,
         };
         s.dialled_at = now;
         s.conns.push(new);
@@ -280,6 +290,7 @@
 
     pub(super) fn server_lost(&mut self, conn: ServerConn, how: Lost, out: &mut Vec<Effect>) {
         self.fleet.closing.remove(&conn);
+        let one_too_many = self.one_too_many(conn);
         let Some((server, lived_ms)) = self.drop_conn(conn) else { return };
         let Some(s) = self.fleet.servers.get_mut(&server) else { return };
         let alone = s.conns.is_empty();
@@ -299,6 +310,8 @@
                 self.end_waiting(server, Outcome::NotConnected);
                 self.redial_later(server);
             }
+        } else if one_too_many && !alone {
+            // Nothing was told on it that is not told on the others.
         } else if lived_ms >= REDIAL_MS {
             // What ended meanwhile, and what was told on the lost connection and never heard, is told on the next
             // connection, also if others are open; refused, it shows that the process died.
--- a/src/engine/liveness.rs
+++ b/src/engine/liveness.rs
@@ -25,9 +25,14 @@
 const TOLD_TOGETHER_MS: f64 = 100.0;
 /// On a connection that opened so long ago nothing comes that was told on an older one before, ms.
 const SETTLED_MS: f64 = 300.0;
-/// A call server to which a set-up went so lately is in use, and has a second connection, looked for so often, ms.
+/// A call server to which two set-ups went so lately is in use, and has a second connection, looked for so often, ms.
+/// Call servers hold few: a sender that rarely uses one would shut out another for next to nothing.
 const IN_USE_MS: f64 = 2000.0;
 const SPARE_MS: f64 = 1000.0;
+/// One that turned a connection away is asked for no second one for so long, ms, and each time for twice that, up to
+/// the longest: all senders would else go on trying, at a set-up each.
+const CROWDED_MS: f64 = 10_000.0;
+const CROWDED_MOST_MS: f64 = 160_000.0;
 
 impl Engine {
     pub(super) fn look(&mut self, out: &mut Vec<Effect>) {
@@ -71,7 +76,7 @@
             log::info!("connection {} to {} carries nothing more", conn.0, s.listing.name);
             self.close(conn, out);
             self.dial(server, out);
-        } else if !waits.is_empty() && !another && s.conns.len() < CONNS_MAX - 1 {
+        } else if !waits.is_empty() && !another && !self.crowded(server) && s.conns.len() < CONNS_MAX - 1 {
             self.dial(server, out);
         }
     }
@@ -117,12 +122,43 @@
     fn look_for_spare(&mut self, server: ServerId, out: &mut Vec<Effect>) {
         let Some(s) = self.fleet.servers.get(&server) else { return };
         let alone = s.conns.len() == 1 && s.conns.iter().all(|c| c.open && c.heard);
-        let in_use = s.listing.state == Listed::Ready && self.now - s.used_at < IN_USE_MS;
-        if alone && in_use && self.now - s.dialled_at >= SPARE_MS {
+        let in_use = s.listing.state == Listed::Ready && self.now - s.used_before_at < IN_USE_MS;
+        if alone && in_use && !self.crowded(server) && self.now - s.dialled_at >= SPARE_MS {
             self.dial(server, out);
         }
     }
 
+    /// It has no room for a connection beside the ones that are open.
+    fn crowded(&self, server: ServerId) -> bool {
+        self.fleet.servers.get(&server).is_some_and(|s| self.now < s.crowded_until)
+    }
+
+    /// A call server that holds as many connections as it can turns away the set-up on one more, without looking at it
+    /// and so without a word of its load, and closes the connection. Where another is open, that says nothing of its
+    /// processor, and no set-up is to go on this one again.
+    pub(super) fn turned_away(&mut self, server: ServerId, conn: ServerConn) -> bool {
+        let Some(s) = self.fleet.servers.get_mut(&server) else { return false };
+        let others = s.conns.iter().any(|c| c.id != conn && c.open && c.heard && !c.turned_away);
+        // On one that carried set-ups before it is the processor that is full.
+        let fresh = s.conns.iter_mut().find(|c| c.id == conn && c.passed == f64::NEG_INFINITY);
+        let Some(c) = fresh.filter(|_| others) else { return false };
+        c.turned_away = true;
+        true
+    }
+
+    /// A connection ends: whether it was one too many. If so none is asked for beside the others for a while.
+    pub(super) fn one_too_many(&mut self, conn: ServerConn) -> bool {
+        let Some(&server) = self.fleet.by_conn.get(&conn) else { return false };
+        let Some(s) = self.fleet.servers.get_mut(&server) else { return false };
+        let turned_away = s.conns.iter().any(|c| c.id == conn && c.turned_away);
+        if turned_away {
+            s.crowded_ms = (2.0 * s.crowded_ms).clamp(CROWDED_MS, CROWDED_MOST_MS);
+            s.crowded_until = self.now + s.crowded_ms;
+            log::debug!("{} takes no more connections", s.listing.name);
+        }
+        turned_away
+    }
+
     /// A set-up has waited on it in silence.
     fn quiet(&self, c: &Conn) -> bool {
         let waits = |at: f64| self.now - at >= DOUBT_MS;
@@ -132,12 +168,12 @@
     /// The connection for the next set-up: those on which something was heard take turns. One that is quiet comes last.
     pub(super) fn in_turn(&mut self, server: ServerId) -> Option<ServerConn> {
         let s = self.fleet.servers.get(&server)?;
-        let sound = s.conns.iter().filter(|c| c.open && c.heard && !self.quiet(c));
+        let sound = s.conns.iter().filter(|c| c.open && c.heard && !c.turned_away && !self.quiet(c));
         let conn = sound.min_by_key(|c| c.turn).map(|c| c.id).or_else(|| self.fleet.best(server))?;
         let (now, s) = (self.now, self.fleet.servers.get_mut(&server)?);
         let last = s.conns.iter().map(|c| c.turn).max().unwrap_or(0);
         s.conns.iter_mut().filter(|c| c.id == conn).for_each(|c| c.turn = last + 1);
-        s.used_at = now;
+        s.used_before_at = std::mem::replace(&mut s.used_at, now);
         s.waits_since = s.waits_since.or(Some(now));
         Some(conn)
     }
--- a/src/lab/standin.rs
+++ b/src/lab/standin.rs
@@ -49,6 +49,8 @@
     pub answered: AtomicU64,
     /// Set-ups sent back, as it was full or with an error.
     pub sent_back: AtomicU64,
+    /// Of these, unlooked at: they came on a connection beyond those that it holds.
+    pub unlooked: AtomicU64,
     /// The longest wait told in a report since it was last asked for, ms.
     pub wait_ms: AtomicU64,
     /// Times that it fell over.
@@ -73,6 +75,9 @@
     down_until: Mutex<Option<Instant>>,
     /// Tests are read and never answered.
     mute_tests: AtomicBool,
+    /// Connections that it serves at most, and those that it serves.
+    conns_max: AtomicU64,
+    served: AtomicU64,
     stop: AtomicBool,
 }
 
@@ -149,6 +154,8 @@
             hold,
             down_until: Mutex::new(None),
             mute_tests: AtomicBool::new(false),
+            conns_max: AtomicU64::new(u64::MAX),
+            served: AtomicU64::new(0),
             stop: AtomicBool::new(false),
         });
         let served = shared.clone();
@@ -159,7 +166,11 @@
                     Ok((stream, _)) => {
                         served.counts.conns.fetch_add(1, Ordering::Relaxed);
                         let shared = served.clone();
-                        std::thread::spawn(move || serve(stream, &shared));
+                        std::thread::spawn(move || {
+                            let at = shared.served.fetch_add(1, Ordering::Relaxed);
+                            serve(stream, &shared, at < shared.conns_max.load(Ordering::Relaxed));
+                            shared.served.fetch_sub(1, Ordering::Relaxed);
+                        });
                     }
                     Err(_) => std::thread::sleep(Duration::from_millis(2)),
                 }
@@ -182,6 +193,12 @@
         self.shared.mute_tests.store(true, Ordering::Relaxed);
     }
 
+    /// From now on it serves so many connections; on one more it tells its state, turns the first set-up away without
+    /// looking at it, and closes.
+    pub fn hold_at_most(&self, conns: u64) {
+        self.shared.conns_max.store(conns, Ordering::Relaxed);
+    }
+
     /// Set-ups read so far.
     pub fn set_ups(&self) -> u64 {
         self.counts.set_ups.load(Ordering::Relaxed)
@@ -209,8 +226,9 @@
     format!("{value}\n")
 }
 
-/// Answers on one connection, in the order of the line, until it closes or the server is gone.
-fn serve(stream: TcpStream, shared: &Shared) {
+/// Answers on one connection, in the order of the line, until it closes or the server is gone. `held`: it has room for the
+/// connection.
+fn serve(stream: TcpStream, shared: &Shared, held: bool) {
     let Ok(mut writer) = stream.try_clone() else { return };
     let Ok(raw) = stream.try_clone() else { return };
     let zero = "0000000000000000";
@@ -246,6 +264,14 @@
         text.clear();
         let now = Instant::now();
         match message["t"].as_str() {
+            Some("new") if !held => {
+                shared.counts.set_ups.fetch_add(1, Ordering::Relaxed);
+                shared.counts.sent_back.fetch_add(1, Ordering::Relaxed);
+                shared.counts.unlooked.fetch_add(1, Ordering::Relaxed);
+                let away = line(&json!({"t": "down", "ref": message["ref"], "f": {}, "c": 34}));
+                let _ = writer.write_all(away.as_bytes());
+                return;
+            }
             Some("new") => {
                 heard += 1;
                 for (after, answer) in answer(&message["ref"], shared, heard, now) {
--- a/tests/lab/main.rs
+++ b/tests/lab/main.rs
@@ -21,6 +21,7 @@
 use proxy::{Fault, Proxy};
 use standin::{Mode, StandIn};
 use std::collections::HashMap;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 /// The shipped limits, as operators would start from them.
@@ -208,6 +209,29 @@
     }
 }
 
+/// Call servers hold few connections. Five instances with a first connection each leave none to spare: a set-up on one
+/// more is turned away unlooked at, which is no word of the processor. Each instance may learn that once; before, every
+/// second set-up went astray so, and calls failed for want of attempts.
+#[test]
+fn connections_that_a_call_server_has_no_room_for_cost_each_instance_one_set_up() {
+    let servers = [StandIn::start(Mode::Answer).unwrap(), StandIn::start(Mode::Answer).unwrap()];
+    servers.iter().for_each(|s| s.hold_at_most(5));
+    let fleet = fleet::start(5, &[("s-a", servers[0].addr), ("s-b", servers[1].addr)], None);
+    let callers = all_ready(&fleet).into_iter().zip(1u64..);
+    let play = |(caller, i): (rig::Caller, u64)| {
+        std::thread::spawn(move || storm(caller, Duration::from_secs(4), 4, i << 32))
+    };
+    let threads: Vec<_> = callers.map(play).collect();
+    let heard: Vec<Heard> = threads.into_iter().map(|t| t.join().unwrap()).collect();
+    let unlooked = |s: &StandIn| s.counts.unlooked.load(Ordering::Relaxed);
+    let unlooked: u64 = servers.iter().map(unlooked).sum();
+    eprintln!("{unlooked} set-ups turned away unlooked at, {heard:?}");
+    assert!(unlooked >= 1, "the servers had no room to spare");
+    // At each of two servers, and at most the set-ups that went out before the first came back.
+    assert!(unlooked <= 2 * 5 * 4, "{unlooked} set-ups turned away unlooked at");
+    assert!(heard.iter().all(|h| h.other == 0 && h.answered > 0), "{heard:?}");
+}
+
 /// The engine asks the budget before a second attempt: with none left, the call is refused at once with advice
 /// to stay away, and the other call server never sees it. Without limits it goes there.
 #[test]
