Bound a keeper's bid, shorten masterships, and number epochs with a draw

The model found two grantors at once: promises of a keeper that has forgotten them in a restart were used by bids that waited longer than its silence. A bid is given up after a quarter of a lease, and the silence covers it.

--- a/src/shares/divide.rs
+++ b/src/shares/divide.rs
@@ -8,7 +8,7 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) struct Claim {
     pub member: Member,
-    /// Per second.
+    /// Per second, beyond its floor.
     pub asked: f64,
     /// Mean worth of what is to be paid; 0: nothing was asked.
     pub worth: f64,
@@ -16,8 +16,6 @@
     pub given: Amount,
 }
 
-/// Room above what was asked in the last round, so that a noisy rate is not cut at its mean.
-const HEADROOM: f64 = 1.1;
 /// A part is left as it is if it would shrink by less than this share of it.
 const DEAD_BAND: f64 = 0.05;
 /// How much more or less than the mean a member's worth counts: what bounds a liar's gain.
@@ -76,7 +74,7 @@
     let weight = |worth: f64| {
         if sum > 0.0 { (worth * asking / sum).clamp(*WEIGHT.start(), *WEIGHT.end()) } else { 1.0 }
     };
-    let sizes: Vec<(f64, f64)> = claims.iter().map(|c| (c.asked * HEADROOM, weight(c.worth))).collect();
+    let sizes: Vec<(f64, f64)> = claims.iter().map(|c| (c.asked, weight(c.worth))).collect();
     let mut got = fill(whole, &sizes);
     let rest = (whole - got.iter().sum::<f64>()).max(0.0) / got.len().max(1) as f64;
     got.iter_mut().for_each(|g| *g += rest);
--- a/src/shares/grantor.rs
+++ b/src/shares/grantor.rs
@@ -308,15 +308,17 @@
         let present: Vec<Member> = (0..self.members).map(Member).filter(|&m| self.present(now, m)).collect();
         let mut targets = vec![vec![Amount::default(); self.budgets.len()]; self.peers.len()];
         for (at, budget) in self.budgets.iter().enumerate() {
+            let each = budget.floor / f64::from(self.members);
+            let (floor, floor_burst) = (budget.per_s * each, budget.burst * each);
             let claims: Vec<Claim> = present
                 .iter()
                 .map(|&member| {
                     let peer = &self.peers[usize::from(member.0)];
                     let Wish { asked, worth, .. } = peer.wishes[at];
+                    let asked = (asked - floor).max(0.0);
                     Claim { member, asked, worth, given: self.ledger.given(member, peer.life, budget.id) }
                 })
                 .collect();
-            let floor_burst = budget.burst * budget.floor / f64::from(self.members);
             let quantum = ((1.0 - floor_burst).max(0.0) * 1000.0).ceil() as u64;
             let whole = self.ledger.whole(budget.id);
             for (claim, target) in claims.iter().zip(divide(whole, quantum, self.round, &claims)) {
--- a/src/shares/holder.rs
+++ b/src/shares/holder.rs
@@ -34,7 +34,7 @@
     pub(super) fn new(settings: &ShareSettings, life: u32) -> Self {
         Holder {
             keepers: settings.keepers.clone(),
-            lease_ms: settings.holders_lease_ms(),
+            lease_ms: settings.holders_ms(settings.lease_ms),
             life,
             fence: Epoch(0),
             grantor: None,
--- a/src/shares/mastership.rs
+++ b/src/shares/mastership.rs
@@ -1,5 +1,5 @@
 //! Who grants: one keeper at a time, by leases of a majority (PaxosLease). Nothing is kept on disk: a keeper that has
-//! just started takes no part for a whole lease, after which all it might have promised before has lapsed. A
+//! just started takes no part for a whole bid and a lease, after which all it might have promised before has lapsed. A
 //! proposer counts its lease from before it proposes, an acceptor from when it accepts, each with the bound on drift
 //! on its side, so the owner's view of it ends before anybody else's.
 
@@ -9,7 +9,7 @@
 use fastrand::Rng;
 
 /// Longest spread of keepers' bids after a lease has lapsed, ms.
-const SPREAD_MS: f64 = 400.0;
+const SPREAD_MS: f64 = 300.0;
 /// Ballots above this are taken for garbage: counting on from one must not wrap.
 const BALLOT_MAX: u64 = 1 << 62;
 
@@ -63,14 +63,17 @@
 impl Keeper {
     pub(super) fn new(settings: &ShareSettings, me: Member, seed: u64, now: f64) -> Self {
         let mut rng = Rng::with_seed(seed);
-        let silent_until = now + settings.lease_ms;
+        let lease_ms = settings.mastership_ms();
+        let patience_ms = lease_ms / 4.0;
+        // An earlier life's promise may be used until its bid is given up, and the lease bid for counts from then.
+        let silent_until = now + lease_ms + patience_ms * (1.0 + settings.drift) / (1.0 - settings.drift);
         let mut keeper = Keeper {
             me,
             keepers: settings.keepers.clone(),
             majority: settings.majority(),
-            lease_ms: settings.lease_ms,
-            own_ms: settings.holders_lease_ms(),
-            patience_ms: settings.round_ms.min(settings.lease_ms / 8.0),
+            lease_ms,
+            own_ms: settings.holders_ms(lease_ms),
+            patience_ms,
             run: rng.u32(..),
             silent_until,
             promised: 0,
@@ -89,7 +92,7 @@
     }
 
     fn spread(&mut self) -> f64 {
-        self.rng.f64() * SPREAD_MS.min(self.lease_ms / 5.0)
+        self.rng.f64() * SPREAD_MS.min(self.lease_ms / 4.0)
     }
 
     /// The epoch under which this keeper may grant now.
@@ -104,8 +107,10 @@
 
     /// A grantor asked: it lives, and a bid before its lease can lapse would be in vain.
     pub(super) fn heard_grantor(&mut self, now: f64) {
-        let at = now + self.lease_ms * 0.7 + self.spread();
-        self.bid_at = self.bid_at.max(at);
+        if self.epoch(now).is_none() {
+            let at = now + self.lease_ms * 0.7 + self.spread();
+            self.bid_at = self.bid_at.max(at);
+        }
     }
 
     /// A member has promised itself to a later epoch than ours, as happens when keepers forgot theirs in a restart: a
@@ -154,7 +159,10 @@
             self.bid_at = until + self.spread();
             return;
         }
-        let ballot = (((self.highest >> 16) + 1) << 16) | u64::from(self.me.0);
+        // A count, a draw, the keeper. All keepers at once may have forgotten the count in a restart, but the members
+        // have not: without the draw they would take the new epoch for the old one of that number.
+        let draw = u64::from(self.rng.u16(..)) << 16;
+        let ballot = (((self.highest >> 32) + 1) << 32) | draw | u64::from(self.me.0);
         self.note(ballot);
         self.bid = Some(Bid {
             ballot,
@@ -255,7 +263,8 @@
         sends: &mut Sends,
     ) {
         let Some(bid) = self.bid.as_mut().filter(|bid| bid.ballot == n && run == self.run) else { return };
-        if bid.proposed.is_some() {
+        // Too late, the promise may be of a keeper that has forgotten it in a restart and ended its silence.
+        if bid.proposed.is_some() || now >= bid.give_up_at {
             return;
         }
         if owner.is_some_and(|owner| owner != self.me) {
--- a/src/shares/mod.rs
+++ b/src/shares/mod.rs
@@ -98,7 +98,7 @@
 }
 
 impl Shares {
-    /// A member that has just started: it holds nothing, and keeps silent for a lease if it is a keeper. `settings`
+    /// A member that has just started: it holds nothing, and keeps silent for half a lease if it is a keeper. `settings`
     /// are checked; `seed` must differ from the one of its last start.
     #[must_use]
     pub fn new(settings: ShareSettings, me: Member, seed: u64, now: f64) -> Self {
--- a/src/shares/settings.rs
+++ b/src/shares/settings.rs
@@ -12,7 +12,8 @@
     pub members: u16,
     /// Three or five members that elect the grantor.
     pub keepers: Vec<Member>,
-    /// How long a grant and a mastership hold, ms; also how long a keeper keeps silent after its start.
+    /// How long a grant holds, ms. A mastership holds for two fifths of it, so that another grantor is there before
+    /// parts lapse; a keeper keeps silent for half of it after its start.
     pub lease_ms: f64,
     /// From one division to the next, ms.
     pub round_ms: f64,
@@ -93,9 +94,14 @@
         self.keepers.len() / 2 + 1
     }
 
+    /// How long a keeper holds another to be grantor, ms.
+    pub(super) fn mastership_ms(&self) -> f64 {
+        self.lease_ms * 0.4
+    }
+
     /// How long whoever was given a lease counts it, ms on its own clock, from before it asked: not longer in true time
     /// than the giver, who counts `lease_ms` from when it gave it, whatever their clocks' drift.
-    pub(super) fn holders_lease_ms(&self) -> f64 {
-        self.lease_ms * (1.0 - self.drift) / (1.0 + self.drift)
+    pub(super) fn holders_ms(&self, lease_ms: f64) -> f64 {
+        lease_ms * (1.0 - self.drift) / (1.0 + self.drift)
     }
 }
