--- a/src/shares/grantor.rs
+++ b/src/shares/grantor.rs
@@ -11,7 +11,7 @@
 /// In one round a member is granted to so often at most after the division itself: it bounds the traffic.
 const REGRANTS: u8 = 2;
 /// A demand falls no faster than by this factor in a round; it rises at once.
-const FALL: f64 = 0.5;
+const FALL: f64 = 0.25;
 /// A member gains at least this share of its target, or is not granted to again in the round.
 const LEAST_GAIN: f64 = 0.02;
 
--- a/src/shares/mod.rs
+++ b/src/shares/mod.rs
@@ -16,6 +16,8 @@
 mod purse;
 mod settings;
 pub mod sim;
+#[cfg(test)]
+mod tests;
 
 pub use exchange::{Exchange, Snapshot};
 pub use message::{Granted, Message, Reported};
--- a/tests/shares_sim.rs
+++ b/tests/shares_sim.rs
@@ -93,10 +93,8 @@
 
 #[test]
 fn no_fault_makes_parts_or_spendings_exceed_the_whole() {
-    // Those found to fail before: keepers that forgot their count won the same epoch again.
-    for seed in [4136] {
-        assert_eq!(play(seed).0, None);
-    }
+    // Found to fail before: keepers that forgot their count won the same epoch again.
+    assert_eq!(play(4136).0, None);
     seeds(0, 200);
 }
 
