--- a/src/shares/grantor.rs
+++ b/src/shares/grantor.rs
@@ -11,7 +11,7 @@
 /// In one round a member is granted to so often at most after the division itself: it bounds the traffic.
 const REGRANTS: u8 = 2;
 /// A demand falls no faster than by this factor in a round; it rises at once.
-const FALL: f64 = 0.5;
+const FALL: f64 = 0.25;
 /// A member gains at least this share of its target, or is not granted to again in the round.
 const LEAST_GAIN: f64 = 0.02;
 
@@ -308,15 +308,17 @@
         let present: Vec<Member> = (0..self.members).map(Member).filter(|&m| self.present(now, m)).collect();
         let mut targets = vec![vec![Amount::default(); self.budgets.len()]; self.peers.len()];
         for (at, budget) in self.budgets.iter().enumerate() {
+            let each = budget.floor / f64::from(self.members);
+            let (floor, floor_burst) = (budget.per_s * each, budget.burst * each);
             let claims: Vec<Claim> = present
                 .iter()
                 .map(|&member| {
                     let peer = &self.peers[usize::from(member.0)];
                     let Wish { asked, worth, .. } = peer.wishes[at];
+                    let asked = (asked - floor).max(0.0);
                     Claim { member, asked, worth, given: self.ledger.given(member, peer.life, budget.id) }
                 })
                 .collect();
-            let floor_burst = budget.burst * budget.floor / f64::from(self.members);
             let quantum = ((1.0 - floor_burst).max(0.0) * 1000.0).ceil() as u64;
             let whole = self.ledger.whole(budget.id);
             for (claim, target) in claims.iter().zip(divide(whole, quantum, self.round, &claims)) {
