--- a/tests/gather_sim.rs
+++ b/tests/gather_sim.rs
@@ -76,7 +76,7 @@
             Shape::Heavy => 150.0 * (1.0 - rng.f64()).powf(-1.0 / 1.2),
             Shape::TwoModes if rng.f64() < 0.3 => log_normal(2000.0, 0.15, rng),
             Shape::TwoModes => log_normal(200.0, 0.3, rng),
-            Shape::SlowSite => light * slower(member % 3 == 0),
+            Shape::SlowSite => light * slower(member.is_multiple_of(3)),
             Shape::AllSlower => light * slower(true),
             Shape::Silent if rng.f64() < 1.0 / 6.0 => f64::INFINITY,
             Shape::Silent => light,
