--- a/src/gather/mod.rs
+++ b/src/gather/mod.rs
@@ -177,7 +177,8 @@
         deadline
     }
 
-    /// Divides what a gather expects anew, by weight; a member not named keeps what has come from it.
+    /// Divides what a gather expects anew, by weight; a member not named keeps what has come from it, and
+    /// what was given up is expected from those named.
     pub fn allot(&mut self, id: GatherId, weights: &[(Member, f64)]) {
         if let Some(open) = self.open.get_mut(&id) {
             open.allot(weights.iter().copied());
--- a/src/gather/open.rs
+++ b/src/gather/open.rs
@@ -71,7 +71,8 @@
         open
     }
 
-    /// Divides what is expected among the members by weight; nobody's part falls below what came from it.
+    /// Divides what is expected among the members by weight; nobody's part falls below what came from it. What
+    /// was given up with a member that left is expected from the others again.
     pub fn allot(&mut self, weights: impl Iterator<Item = (Member, f64)> + Clone) {
         let weight = |w: f64| if w.is_finite() { w.max(0.0) } else { 0.0 };
         let all = weights.clone().map(|(_, w)| weight(w)).sum::<f64>();
@@ -83,8 +84,13 @@
         }
         for (member, w) in weights {
             let part = self.parts.entry(member).or_default();
+            part.gone = false;
             part.most = part.came.max((f64::from(self.expected) * weight(w) / all - 1e-6).ceil() as u32);
         }
+        if self.over.is_none() {
+            self.lost = 0;
+            self.given_up.clear();
+        }
     }
 
     /// So many of a member's answers have come by now, all told. False: nothing new.
--- a/src/gather/tests.rs
+++ b/src/gather/tests.rs
@@ -92,6 +92,26 @@
     assert_eq!((closed.why, closed.complete, closed.waited_ms), (Why::GivenUp, 0.5, 6.0));
 }
 
+#[test]
+fn a_part_given_up_comes_from_the_others_once_it_is_divided_anew() {
+    let mut gathers = Gathers::new(settings(), 1);
+    gathers.open(0.0, GatherId(1), key(), 40, &members(4));
+    for m in 0..4 {
+        gathers.arrived(1.0, GatherId(1), Member(m), 5);
+    }
+    gathers.give_up(2.0, GatherId(1), Member(3));
+    gathers.allot(GatherId(1), &[(Member(0), 1.0), (Member(1), 1.0), (Member(2), 1.0)]);
+    for m in 0..3 {
+        gathers.arrived(3.0, GatherId(1), Member(m), 12);
+    }
+    let closed = drain(&mut gathers);
+    assert_eq!(
+        (closed.why, closed.complete, closed.waited_ms),
+        (Why::Whole, 1.0, 3.0),
+        "36 and the 5 before"
+    );
+}
+
 #[test]
 fn answers_that_never_came_count_as_out_only_while_they_were_watched() {
     let grid = Grid::new(10_000.0);
@@ -210,6 +230,19 @@
     assert!(serde_yaml_ng::from_str::<GatherSettings>(&good.replace("spread", "spred")).is_err());
 }
 
+#[test]
+fn the_operators_page_shows_what_holds() {
+    #[derive(serde::Deserialize)]
+    struct Page {
+        gather: GatherSettings,
+    }
+    let page = include_str!("../../docs/operations-gather.md");
+    let yaml = page.split("```yaml").nth(1).and_then(|p| p.split("```").next()).unwrap();
+    let Page { gather } = serde_yaml_ng::from_str(yaml).unwrap();
+    gather.check().unwrap();
+    assert_eq!(gather.rounds, Some(Settings::rounds()));
+}
+
 fn starts(occurrence: u64, ends_at: f64) -> JobEvent {
     JobEvent::Starts {
         occurrence: Occurrence(occurrence),
