--- a/src/reservations/book.rs
+++ b/src/reservations/book.rs
@@ -69,6 +69,11 @@
     pub takes: Vec<(u16, Minute)>,
 }
 
+/// Whether a booking that came from elsewhere can be kept: else it would break sums that are made with it.
+fn sound(slot: u16, request: &Request, spans: &[Span]) -> bool {
+    slot < BudgetId::BOOKED && request.check().is_ok() && spans.iter().all(|s| s.start < s.end)
+}
+
 /// A booking.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Booking {
@@ -132,7 +137,8 @@
 
     /// From a snapshot.
     #[must_use]
-    pub fn from_kept(kept: Kept) -> Self {
+    pub fn from_kept(mut kept: Kept) -> Self {
+        kept.bookings.retain(|&slot, b| sound(slot, &b.request, &b.spans));
         let mut book = Book { kept, ..Book::default() };
         let all: Vec<(u16, Booking)> = book.kept.bookings.iter().map(|(&s, b)| (s, b.clone())).collect();
         for (slot, booking) in all {
@@ -239,6 +245,9 @@
     }
 
     fn place(&mut self, order: u64, placed: &Placed) {
+        if !sound(placed.slot, &placed.request, &placed.spans) {
+            return;
+        }
         for &(slot, start) in &placed.takes {
             self.take(slot, start);
         }
--- a/src/reservations/host.rs
+++ b/src/reservations/host.rs
@@ -339,6 +339,7 @@
             // Whoever asked asks the next grantor.
             self.waiting.clear();
             self.under_way = None;
+            self.ops.clear();
             if leads {
                 self.file();
             }
--- a/src/reservations/replica.rs
+++ b/src/reservations/replica.rs
@@ -19,6 +19,8 @@
 const LEARN_MS: f64 = 2000.0;
 /// Entries in one message.
 const AT_ONCE: usize = 32;
+/// No log is this long: a state that says so is none.
+const INDEX_MOST: u64 = 1 << 48;
 /// The file is written anew after so many records.
 const RECORDS: usize = 512;
 
@@ -306,6 +308,9 @@
             Body::Appended { epoch, last, took } => self.appended(from, epoch, last, took, out),
             Body::State { epoch, at, state, entries } => {
                 let Ok(kept) = postcard::from_bytes(&state) else { return };
+                if at.index > INDEX_MOST {
+                    return;
+                }
                 let log = Log::from_state(at, kept, entries);
                 let pulled = self.lead.as_ref().is_some_and(|l| {
                     l.epoch == epoch && matches!(l.phase, Phase::Pulling { from: f, .. } if f == from)
@@ -344,8 +349,10 @@
         if epoch < self.promised || !self.keepers.contains(&from) || from == self.me {
             return false;
         }
-        if self.lead.as_ref().is_some_and(|l| l.epoch <= epoch) {
-            self.lead = None;
+        match &self.lead {
+            // An epoch has one grantor: a state that was pulled under this one came twice.
+            Some(lead) if lead.epoch == epoch => return false,
+            _ => self.lead = None,
         }
         self.promise(epoch, out);
         self.leader = Some(from);
--- a/src/reservations/rules.rs
+++ b/src/reservations/rules.rs
@@ -80,7 +80,9 @@
             }
         }
     }
-    let held_until = if request.hold { unix_ms + u64::from(settings.hold_min) * 60_000 } else { 0 };
+    // A hold ends where its first window would begin.
+    let expires = (unix_ms + u64::from(settings.hold_min) * 60_000).min(u64::from(first.start) * 60_000);
+    let held_until = if request.hold { expires } else { 0 };
     let promise = Promise {
         booking: BudgetId::BOOKED + slot,
         occurrences: unrolled.spans.len() as u32,
@@ -150,7 +152,7 @@
     spans: &[Span],
 ) -> Option<String> {
     let tz = settings.tz();
-    let set_ups = |per_s: f64, span: Span| per_s * 60.0 * f64::from(span.end - span.start);
+    let set_ups = |per_s: f64, span: Span| per_s * 60.0 * f64::from(span.end.saturating_sub(span.start));
     let mut weeks: HashMap<i64, f64> = HashMap::new();
     for &span in spans {
         *weeks.entry(calendar::week(tz, span.start)).or_default() += set_ups(request.per_s, span);
--- a/src/reservations/tests.rs
+++ b/src/reservations/tests.rs
@@ -458,7 +458,7 @@
             _ => {}
         }
         let id = rng.u32(0..30);
-        let team = if id % 2 == 0 { "bills" } else { "polls" };
+        let team = if id.is_multiple_of(2) { "bills" } else { "polls" };
         let day = 2 + id % 3;
         let request = job(team, &format!("j{id}"), &format!("2026-12-0{day}T09:00"), 60, 15.0);
         asked.push(request.clone());
@@ -489,5 +489,6 @@
 
 #[test]
 fn promises_hold_whatever_is_cut_lost_or_restarted() {
-    (0..40).for_each(promises_hold);
+    // The last one had a state that was pulled come twice.
+    (0..40).chain([1402]).for_each(promises_hold);
 }
