--- a/src/reservations/host.rs
+++ b/src/reservations/host.rs
@@ -371,7 +371,10 @@
     fn due(&mut self) -> Option<Op> {
         let book = self.replica.log().book();
         let (now, passed) = (minute(self.unix_ms), book.passed());
-        let ended = |b: &Booking| b.spans.iter().any(|s| s.end > passed && s.end <= now);
+        let ended = |b: &Booking| {
+            let over = b.spans.partition_point(|s| s.end <= now);
+            b.spans[..over].last().is_some_and(|s| s.end > passed)
+        };
         if now >= passed.saturating_add(PASSED_MIN) || now > passed && book.bookings().values().any(ended) {
             let forget = now.saturating_sub(self.settings.remember_days * 24 * 60);
             return Some(Op::Passed { at: now, forget });
--- a/src/reservations/tests.rs
+++ b/src/reservations/tests.rs
@@ -492,3 +492,14 @@
     // The last one had a state that was pulled come twice.
     (0..40).chain([1402]).for_each(promises_hold);
 }
+
+#[test]
+fn a_lone_instance_decides_in_one_step() {
+    let mut alone = Reservations::new(settings(), Member(0), vec![Member(0)], vec![Member(0)]);
+    let unix_ms = u64::from(minute_of(BEFORE)) * 60_000;
+    let mut out = Vec::new();
+    alone.step(0.0, unix_ms, Input::Mastership(Some(Epoch(1))), &mut out);
+    let request = job("bills", "a", "2026-12-02T09:00", 60, 20.0);
+    alone.step(1.0, unix_ms + 1, Input::Ask { ticket: 7, wish: Wish::Book(request) }, &mut out);
+    assert!(matches!(&out[..], [Output::Answered { ticket: 7, answer: Answer::Booked(_) }]), "{out:?}");
+}
