--- a/src/codec/common.rs
+++ b/src/codec/common.rs
@@ -76,3 +76,28 @@
     }
     report
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn figures_of_a_set_up_are_read_and_those_unknown_passed_over() {
+        assert_eq!(extras("dest:2;width:1;via:-1"), Some((Some(2), 1)));
+        assert_eq!(extras("dest:1;width:2;via:0;again:1"), Some((Some(1), 2)), "cut, and comes again");
+        for wrong in ["dest:-1", "width:0.5", "again:x", "dest"] {
+            assert_eq!(extras(wrong), None, "{wrong}");
+        }
+    }
+
+    #[test]
+    fn causes_say_how_a_call_ended() {
+        let full = |lines, waited_ms| Ending::Full { lines, waited_ms };
+        assert_eq!(ending(34, true, None), full(true, None));
+        assert_eq!(ending(34, false, Some(850.7)), full(false, Some(850)));
+        assert_eq!(ending(34, false, Some(-1.0)), full(false, None));
+        let ends = [16, 41, 102, 17, 47].map(|cause| ending(cause, false, None));
+        let wanted = [Ending::Normal, Ending::Reset, Ending::NotSent, Ending::Error, Ending::Error];
+        assert_eq!(ends, wanted);
+    }
+}
--- a/src/config.rs
+++ b/src/config.rs
@@ -188,3 +188,32 @@
     }
     Ok(servers.into_values().filter(|s| s.state != Listed::Gone).collect())
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use serde_json::json;
+
+    fn read(may_tell: bool, listen: bool) -> Config {
+        let mut file = json!({"listen": "127.0.0.1:1", "dns": "127.0.0.1:2", "known": {"seq": 1},
+            "peers": ["127.0.0.1:3", null, "127.0.0.1:4"], "peers_all": "127.0.0.1:5",
+            "settings": {"siblings": 3, "index": 1, "services": [], "rules": {"cold_from": 0.3, "cold_ms": 1.0,
+                "fall_multiple": 2.0, "fall_ms": 1.0}, "specifics": {"guard_ms": 1.0},
+                "ceilings": {"attempts_cap": 5, "may_tell": may_tell}}});
+        if listen {
+            file["peer_listen"] = json!("127.0.0.1:6");
+        }
+        let source = Source { path: PathBuf::new(), listen: None, management: None, name: None };
+        parse(file.to_string().as_bytes(), &source).unwrap()
+    }
+
+    #[test]
+    fn peers_are_read_only_where_messages_are_allowed_and_there_is_where_to_hear_them() {
+        let on = read(true, true);
+        let peering = on.peering.unwrap();
+        assert!(on.settings.may_tell && peering.own == 1 && peering.peers.len() == 3);
+        for off in [read(false, true), read(true, false)] {
+            assert!(off.peering.is_none() && !off.settings.may_tell);
+        }
+    }
+}
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -270,3 +270,45 @@
     }
     Ok(())
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::engine::Ending;
+
+    fn ended(line: &str) -> Ending {
+        match read(line).unwrap() {
+            Some(FromServer::Ended { how, .. }) => how,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    #[test]
+    fn notes_and_told_waits_are_read_as_numbers_or_texts() {
+        let full = |lines, waited_ms| Ending::Full { lines, waited_ms };
+        let down =
+            |fields: &str, cause| ended(&format!(r#"{{"t":"down","ref":"7","f":{fields},"c":{cause}}}"#));
+        assert_eq!(down(r#"{"note":"ovl","waited":"900"}"#, 34), full(false, Some(900)));
+        assert_eq!(down(r#"{"note":"ovl","waited":900.5}"#, 34), full(false, Some(900)));
+        assert_eq!(down(r#"{"note":"ovl","waited":"soon"}"#, 34), full(false, None));
+        assert_eq!(down(r#"{"note":"nc"}"#, 34), full(true, None));
+        assert_eq!(down(r#"{"note":"busy"}"#, 17), Ending::Error);
+    }
+
+    #[test]
+    fn a_test_and_its_answer_carry_their_id_and_cause() {
+        let mut bytes = BytesMut::new();
+        Codec::default().encode(&ToServer::Test(CallId(26)), &mut bytes).unwrap();
+        let line: Value = serde_json::from_slice(&bytes).unwrap();
+        assert_eq!(line, serde_json::json!({"t": "hb", "ref": "000000000000001a", "f": {}, "c": 0}));
+        let answer = |cause, load: &str| {
+            let line = format!(r#"{{"t":"hb_ok","ref":"1a","f":{{{load}}},"c":{cause}}}"#);
+            match read(&line).unwrap() {
+                Some(FromServer::Tested { test: CallId(26), passed, report }) => (passed, report.wait_ms),
+                other => panic!("{other:?}"),
+            }
+        };
+        assert_eq!(answer(1, r#""load":"x0:9;x1:9;latency_ms:12""#), (true, Some(12.0)));
+        assert_eq!(answer(0, ""), (false, None));
+    }
+}
--- a/tests/process/rig.rs
+++ b/tests/process/rig.rs
@@ -215,6 +215,17 @@
         }
     }
 
+    /// What comes is waited for so long from now on.
+    pub fn set_patience(&self, patience: Duration) {
+        self.lines.get_ref().set_read_timeout(Some(patience)).unwrap();
+    }
+
+    /// The next JSON line; none if none comes whole within the patience set.
+    pub fn try_hear(&mut self) -> Option<Value> {
+        self.lines.get_ref().peek(&mut [0]).ok()?;
+        self.hear()
+    }
+
     /// The next line that is of this type; what is heard of releases means nothing.
     pub fn expect(&mut self, kind: &str, call: u64) -> Value {
         loop {
