--- a/tests/peers/main.rs
+++ b/tests/peers/main.rs
@@ -284,8 +284,7 @@
     let unanswered = loop {
         caller.set_up(call, 0, 3000);
         call += 1;
-        link.set_patience(Duration::from_millis(100));
-        if let Some(line) = link.try_hear()
+        if let Some(line) = link.try_hear(Duration::from_millis(100))
             && line["t"] == "hb"
         {
             break line;
--- a/tests/process/rig.rs
+++ b/tests/process/rig.rs
@@ -215,15 +215,13 @@
         }
     }
 
-    /// What comes is waited for so long from now on.
-    pub fn set_patience(&self, patience: Duration) {
-        self.lines.get_ref().set_read_timeout(Some(patience)).unwrap();
-    }
-
-    /// The next JSON line; none if none comes whole within the patience set.
-    pub fn try_hear(&mut self) -> Option<Value> {
-        self.lines.get_ref().peek(&mut [0]).ok()?;
-        self.hear()
+    /// The next JSON line; none if none begins within this time. Not every suite listens so.
+    #[allow(dead_code)]
+    pub fn try_hear(&mut self, within: Duration) -> Option<Value> {
+        self.lines.get_ref().set_read_timeout(Some(within)).unwrap();
+        let came = !self.lines.buffer().is_empty() || self.lines.get_ref().peek(&mut [0]).is_ok();
+        self.lines.get_ref().set_read_timeout(Some(PATIENCE)).unwrap();
+        if came { self.hear() } else { None }
     }
 
     /// The next line that is of this type; what is heard of releases means nothing.
