--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -15,6 +15,8 @@
 mod probes;
 mod recovery;
 mod shares;
+#[cfg(test)]
+mod tests;
 mod timers;
 
 pub use messages::*;
--- a/src/lab/fleet.rs
+++ b/src/lab/fleet.rs
@@ -4,6 +4,7 @@
 use crate::lab::caller::Class;
 use crate::lab::datagrams::Datagrams;
 use crate::lab::names::{Listed, Names};
+use crate::lab::tally::{AIM_MS, DEADLINE_MS, LATE_WORTH};
 use serde_json::{Value, json};
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
@@ -39,7 +40,7 @@
     pub audit: bool,
     /// The links between the instances, if messages are allowed; an instance's own address is told to them.
     pub links: Option<&'a Datagrams>,
-    /// Probes are allowed.
+    /// Probes are allowed, and reports come in their answers alone.
     pub probing: bool,
 }
 
@@ -49,15 +50,15 @@
         .classes
         .iter()
         .map(|c| {
-            json!({"name": c.name, "deadline_ms": 9000.0, "target_ms": 1500.0, "worth": c.worth,
-                "late_worth": 0.2})
+            json!({"name": c.name, "deadline_ms": DEADLINE_MS, "target_ms": AIM_MS, "worth": c.worth,
+                "late_worth": LATE_WORTH})
         })
         .collect();
     let widths = vec![1; orders.classes.len()];
     let places: Vec<usize> = (0..orders.places).collect();
     let pools = vec![places; orders.classes.len()];
     json!({"siblings": orders.siblings, "index": index, "zones": ["aarhus"], "services": services,
-        "report": {"columns": ["free", "size", "latency_ms", "can_take"], "how": "answers"},
+        "report": {"columns": ["free", "size", "latency_ms", "can_take"], "how": if orders.probing { "probe" } else { "answers" }},
         "ceilings": {"attempts_cap": 6, "cancel": true, "dial_timeout_ms": 500.0, "retry_after": true,
             "max_retry_after_ms": STAY_AWAY_MAX_MS, "open_cap": 20000, "may_tell": orders.links.is_some(),
             "probing": orders.probing},
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -3,6 +3,7 @@
 pub mod callers;
 pub mod control;
 pub mod driver;
+pub mod figures;
 pub mod listeners;
 pub mod names;
 pub mod operators;
