--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -6,16 +6,21 @@
 //! engine hosts `policy`, and puts their messages into datagrams ([`wire`]). Nothing here knows a call: the traffic side reads what was decided
 //! from `crate::shares::Exchange`, and never waits for it.
 
+mod bookings;
 mod demand;
 mod rounds;
 pub mod settings;
+#[cfg(test)]
+mod tests;
 pub mod wire;
 
 pub use rounds::RoundFigures;
 pub use settings::ControlSettings;
 
+use crate::reservations;
 use crate::shares::{Input, Message, Output, ShareSettings, Shares};
 use crate::terms::{Budget, Demand, Epoch, Member, Part};
+use bookings::{Bookings, Outcome};
 use demand::Demands;
 use rounds::Rounds;
 use serde::{Deserialize, Serialize};
@@ -25,6 +30,7 @@
 #[derive(Debug, Serialize, Deserialize)]
 enum Body {
     Shares(Message),
+    Reservations(reservations::Message),
 }
 
 /// Who this process is in its fleet.
@@ -58,6 +64,11 @@
         to: Member,
         bytes: Vec<u8>,
     },
+    /// The budgets in force from now on, all of them.
+    Budgets(Vec<Budget>),
+    /// To be added to the bookings' file, or to be put in its place whole.
+    Append(Vec<u8>),
+    Replace(Vec<u8>),
     /// This instance's own parts, all of them.
     Parts(Vec<Part>),
     /// This instance grants from now on, under this epoch, or no longer.
@@ -85,6 +96,8 @@
     shares: Shares,
     demands: Demands,
     rounds: Rounds,
+    bookings: Option<Bookings>,
+    outcomes: Vec<Outcome>,
     envelope: Envelope,
     outputs: Vec<Output>,
     /// When the last round was opened.
@@ -101,6 +114,10 @@
         let shares = share_settings(settings, place.members);
         shares.check()?;
         let demands = Demands::new(&shares.budgets, place.members, settings.round_ms);
+        let whole = (shares.keepers.clone(), place.members);
+        let bookings = settings.reservations.clone().map(|reservations| {
+            Bookings::new(reservations, place.me, whole, shares.budgets.clone(), settings.lease_ms)
+        });
         let gather = settings.gather.clone().unwrap_or_default();
         let rounds = Rounds::new(gather.rounds.unwrap_or_else(crate::gather::Settings::rounds), place.seed);
         let key = settings.key.as_ref().map(|key| key.0.as_slice());
@@ -108,6 +125,8 @@
             shares: Shares::new(shares, place.me, place.seed, now),
             demands,
             rounds,
+            bookings,
+            outcomes: Vec::new(),
             envelope: Envelope::new(place.me, place.incarnation, key, settings.lease_ms),
             outputs: Vec::new(),
             opened_at: now,
@@ -118,7 +137,7 @@
     /// When [`Event::Tick`] is due next, ms.
     #[must_use]
     pub fn next_due(&self) -> f64 {
-        self.shares.next_due()
+        self.shares.next_due().min(self.bookings.as_ref().map_or(f64::INFINITY, Bookings::next_due))
     }
 
     #[must_use]
@@ -127,15 +146,30 @@
         ControlFigures { master, dropped, rounds: self.rounds.figures(), ..self.figures }
     }
 
-    /// Takes one event at `now`, which never goes back.
-    pub fn step(&mut self, now: f64, event: Event, out: &mut Vec<Effect>) {
+    /// What the bookings' file held at the start.
+    ///
+    /// # Errors
+    /// It is damaged in its middle: nothing of it is used.
+    pub fn restore(&mut self, bytes: &[u8]) -> Result<(), String> {
+        self.bookings.as_mut().map_or(Ok(()), |bookings| bookings.restore(bytes))
+    }
+
+    /// Takes one event at `now`, which never goes back, and `unix_ms`, which may.
+    pub fn step(&mut self, now: f64, unix_ms: u64, event: Event, out: &mut Vec<Effect>) {
+        let mut booked = None;
         let input = match event {
             Event::Datagram { from, bytes } => {
-                let Some((from, Body::Shares(message))) = self.envelope.open(now, Some(from), &bytes) else {
+                let Some((from, body)) = self.envelope.open(now, Some(from), &bytes) else {
                     return;
                 };
                 self.figures.heard += 1;
-                Input::Heard { from, message }
+                match body {
+                    Body::Shares(message) => Input::Heard { from, message },
+                    Body::Reservations(message) => {
+                        booked = Some(reservations::Input::Received { from, message });
+                        Input::Tick
+                    }
+                }
             }
             Event::Demand(demand) => Input::Demand(self.demands.told(demand)),
             Event::Leave => Input::Leave,
@@ -144,26 +178,58 @@
         let mut outputs = std::mem::take(&mut self.outputs);
         self.shares.step(now, input, &mut outputs);
         for output in outputs.drain(..) {
-            self.act(now, output, out);
+            self.act((now, unix_ms), output, out);
         }
         self.outputs = outputs;
         self.rounds.tick(now);
+        let due = self.bookings.as_ref().is_some_and(|bookings| bookings.next_due() <= now);
+        if let Some(input) = booked.or(due.then_some(reservations::Input::Tick)) {
+            self.book(now, unix_ms, input, out);
+        }
     }
 
-    fn act(&mut self, now: f64, output: Output, out: &mut Vec<Effect>) {
-        match output {
-            Output::Send { to, message } => match self.envelope.seal(&Body::Shares(message)) {
-                Ok(bytes) => {
-                    self.figures.sent += 1;
-                    out.push(Effect::Send { to, bytes });
-                }
-                Err(why) => {
-                    self.figures.too_long += 1;
-                    out.push(Effect::Note(why));
+    fn send(&mut self, to: Member, body: &Body, out: &mut Vec<Effect>) {
+        match self.envelope.seal(body) {
+            Ok(bytes) => {
+                self.figures.sent += 1;
+                out.push(Effect::Send { to, bytes });
+            }
+            Err(why) => {
+                self.figures.too_long += 1;
+                out.push(Effect::Note(why));
+            }
+        }
+    }
+
+    fn book(&mut self, now: f64, unix_ms: u64, input: reservations::Input, out: &mut Vec<Effect>) {
+        let Some(bookings) = self.bookings.as_mut() else { return };
+        let mut outcomes = std::mem::take(&mut self.outcomes);
+        bookings.step(now, unix_ms, input, &mut outcomes);
+        for outcome in outcomes.drain(..) {
+            match outcome {
+                Outcome::Send { to, message } => self.send(to, &Body::Reservations(message), out),
+                Outcome::Budgets(budgets) => {
+                    out.push(Effect::Budgets(budgets.clone()));
+                    let mut outputs = Vec::new();
+                    self.shares.step(now, Input::Budgets(budgets), &mut outputs);
+                    outputs.into_iter().for_each(|output| self.act((now, unix_ms), output, out));
                 }
-            },
+                Outcome::Append(bytes) => out.push(Effect::Append(bytes)),
+                Outcome::Replace(bytes) => out.push(Effect::Replace(bytes)),
+                Outcome::Note(text) => out.push(Effect::Note(text)),
+            }
+        }
+        self.outcomes = outcomes;
+    }
+
+    fn act(&mut self, (now, unix_ms): (f64, u64), output: Output, out: &mut Vec<Effect>) {
+        match output {
+            Output::Send { to, message } => self.send(to, &Body::Shares(message), out),
             Output::Parts(parts) => out.push(Effect::Parts(parts)),
-            Output::Mastership(epoch) => out.push(Effect::Mastership(epoch)),
+            Output::Mastership(epoch) => {
+                out.push(Effect::Mastership(epoch));
+                self.book(now, unix_ms, reservations::Input::Mastership(epoch), out);
+            }
             Output::Note(text) => out.push(Effect::Note(text)),
             Output::RoundOpened { epoch, round, at, expected } => {
                 let deadline = self.rounds.opened(at, epoch.0, round, &expected);
--- a/src/control/settings.rs
+++ b/src/control/settings.rs
@@ -30,6 +30,9 @@
     /// How long the rounds wait, and jobs; none: rounds as `crate::gather::Settings::rounds` has them, jobs without end.
     #[serde(default)]
     pub gather: Option<GatherSettings>,
+    /// What may be booked for jobs; none: nothing.
+    #[serde(default)]
+    pub reservations: Option<crate::reservations::Settings>,
     pub budgets: Vec<BudgetSettings>,
 }
 
@@ -182,6 +185,9 @@
         if let Some(gather) = &self.gather {
             gather.check()?;
         }
+        if let Some(reservations) = &self.reservations {
+            reservations.check().map_err(|why| format!("reservations: {why}"))?;
+        }
         if self.budgets.is_empty() || self.budgets.len() >= usize::from(BudgetId::BOOKED) {
             return Err("budgets: at least one is wanted".to_owned());
         }
--- a/src/engine/shares.rs
+++ b/src/engine/shares.rs
@@ -4,7 +4,7 @@
 use super::{Due, Engine};
 use crate::interface::ServerId;
 use crate::shares::{Exchange, Purse};
-use crate::terms::{Budget, Spending};
+use crate::terms::{Budget, BudgetId, Spending};
 use std::collections::HashMap;
 use std::sync::Arc;
 
@@ -123,9 +123,21 @@
     pub(super) fn pays(&mut self, payment: &Payment) -> bool {
         self.look();
         let (now, budgets) = (self.now, self.budgets.clone());
+        // What is booked for a job is its own; beyond that its set-ups compete as others do.
+        for (budget, (spent, refused)) in budgets.iter().zip(&mut self.counts) {
+            if budget.id.0 >= BudgetId::BOOKED && payment.falls_under(budget) {
+                let paid = self.purse.spend(now, budget.id);
+                *(if paid { &mut *spent } else { &mut *refused }) += 1;
+                self.exchange.asked(budget.id, payment.worth, paid);
+                if paid {
+                    return true;
+                }
+            }
+        }
+        let ordinary = |b: &Budget| b.id.0 < BudgetId::BOOKED && payment.falls_under(b);
         let mut pays = true;
         for (budget, dearest) in budgets.iter().zip(&mut self.dearest) {
-            if payment.falls_under(budget) {
+            if ordinary(budget) {
                 if payment.worth >= dearest.0 || now - dearest.1 > DEAR_MS {
                     *dearest = (payment.worth, now);
                 }
@@ -135,7 +147,7 @@
             }
         }
         for (budget, (spent, refused)) in budgets.iter().zip(&mut self.counts) {
-            if payment.falls_under(budget) {
+            if ordinary(budget) {
                 let paid = pays && self.purse.spend(now, budget.id);
                 *(if paid { spent } else { refused }) += 1;
                 self.exchange.asked(budget.id, payment.worth, paid);
@@ -234,7 +246,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::terms::{BudgetId, Part};
+    use crate::terms::Part;
 
     fn budget(id: u16, spending: Spending, server: Option<&str>, class: Option<&str>) -> Budget {
         Budget {
@@ -317,6 +329,21 @@
         );
     }
 
+    #[test]
+    fn a_jobs_set_ups_are_paid_from_its_booking_and_beyond_it_as_others() {
+        let job = Budget {
+            number_prefix: Some("0045".into()),
+            ..budget(BudgetId::BOOKED, Spending::SetUps, None, None)
+        };
+        let mut p = parts(&[budget(0, Spending::SetUps, None, None), job]);
+        give(&mut p, &[0, BudgetId::BOOKED], 9000.0);
+        p.now = 200.0;
+        assert_eq!((0..9).filter(|_| p.pays(&set_up("s-a", "voice"))).count(), 4, "two of each");
+        assert!(!p.pays(&Payment { number: None, ..set_up("s-a", "voice") }));
+        let figures = p.figures();
+        assert_eq!((figures.budgets[0].spent, figures.budgets[1].spent), (2, 2));
+    }
+
     /// A control thread that died or is stuck publishes nothing more: its parts lapse, and no answer waits for it.
     #[test]
     fn parts_lapse_by_the_monotonic_clock_where_nobody_renews_them() {
--- a/src/net/control.rs
+++ b/src/net/control.rs
@@ -7,6 +7,9 @@
 use crate::engine::Engine;
 use crate::shares::Exchange;
 use crate::terms::{Budget, Member, Part};
+use std::fs::OpenOptions;
+use std::io::{ErrorKind, Write as _};
+use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{Receiver, RecvTimeoutError, SyncSender, sync_channel};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -17,6 +20,8 @@
 
 /// Datagrams that may wait for the thread; more are dropped, as the network might.
 const QUEUE: usize = 512;
+/// The file of the bookings in the settings' folder.
+const BOOKINGS: &str = "bookings.log";
 /// The thread looks so often whether the process is to stop.
 const LOOK: Duration = Duration::from_millis(50);
 /// It wakes no sooner than this, whatever it is asked to.
@@ -132,8 +137,28 @@
     }
 }
 
+fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
+}
+
+fn append(file: &Path, bytes: &[u8]) -> std::io::Result<()> {
+    let mut file = OpenOptions::new().create(true).append(true).open(file)?;
+    file.write_all(bytes)?;
+    file.sync_data()
+}
+
+/// Whole or not at all.
+fn replace(file: &Path, bytes: &[u8]) -> std::io::Result<()> {
+    let new = file.with_extension("new");
+    std::fs::write(&new, bytes)?;
+    std::fs::File::open(&new)?.sync_data()?;
+    std::fs::rename(&new, file)
+}
+
 struct Thread {
     control: Control,
+    /// Where bookings are kept.
+    file: Option<PathBuf>,
     budgets: Vec<Budget>,
     round_ms: f64,
     clock: Monotonic,
@@ -157,14 +182,26 @@
         figures: Arc<Mutex<ControlFigures>>,
     ) -> Result<Self, String> {
         let Ready { settings, place, clock, exchange, queue } = ready;
+        let folder = settings.reservations.as_ref().and_then(|r| r.folder.as_deref());
+        let file = folder.map(|folder| folder.join(BOOKINGS));
         let now = clock.now();
         let budgets = settings.budgets();
         for budget in &budgets {
             let (per_s, burst) = floor_of(budget, place.members);
             log::info!(target: "control", budget = budget.name.as_str(), per_s, burst; "floor");
         }
+        let mut control = Control::new(&settings, &place, now)?;
+        if let Some(file) = &file {
+            let told = |e: &dyn std::fmt::Display| format!("{}: {e}", file.display());
+            match std::fs::read(file) {
+                Ok(bytes) => control.restore(&bytes).map_err(|e| told(&e))?,
+                Err(e) if e.kind() == ErrorKind::NotFound => {}
+                Err(e) => return Err(told(&e)),
+            }
+        }
         Ok(Thread {
-            control: Control::new(&settings, &place, now)?,
+            control,
+            file,
             budgets,
             round_ms: settings.round_ms,
             clock,
@@ -215,13 +252,20 @@
     fn step(&mut self, event: Event) {
         let now = self.clock.now();
         let mut effects = std::mem::take(&mut self.effects);
-        self.control.step(now, event, &mut effects);
+        self.control.step(now, unix_ms(), event, &mut effects);
         for effect in effects.drain(..) {
             match effect {
                 Effect::Send { to, bytes } => {
                     // What the socket does not take now is lost, as on the way.
                     self.sender.to(to.0, &bytes);
                 }
+                Effect::Budgets(budgets) => {
+                    log::info!(target: "control", "budgets in force: {budgets:?}");
+                    self.exchange.set_budgets(&budgets);
+                    self.budgets = budgets;
+                }
+                Effect::Append(bytes) => self.keep(|file| append(file, &bytes)),
+                Effect::Replace(bytes) => self.keep(|file| replace(file, &bytes)),
                 Effect::Parts(parts) => {
                     self.exchange.publish(parts.clone());
                     self.log(parts);
@@ -236,6 +280,15 @@
         self.effects = effects;
     }
 
+    /// Writes to the bookings' file, if there is one.
+    fn keep(&self, write: impl Fn(&Path) -> std::io::Result<()>) {
+        if let Some(file) = &self.file
+            && let Err(e) = write(file)
+        {
+            log::error!(target: "control", "{}: {e}", file.display());
+        }
+    }
+
     /// One line for each part that changed: at `info` if its figures did, else at `debug`, as it was only renewed.
     /// `at` and `until` are Unix ms, by which the parts of several processes can be summed at one time.
     fn log(&mut self, parts: Vec<Part>) {
