--- a/src/net/figures.rs
+++ b/src/net/figures.rs
@@ -5,7 +5,7 @@
 use prometheus_client::collector::Collector;
 use prometheus_client::encoding::text::encode_registry;
 use prometheus_client::encoding::{DescriptorEncoder, EncodeGaugeValue};
-use prometheus_client::metrics::MetricType;
+use prometheus_client::metrics::MetricType::{self, Counter, Gauge};
 use prometheus_client::registry::Registry;
 use std::fmt::Error;
 
@@ -27,24 +27,8 @@
 struct Scrape<'a>(DescriptorEncoder<'a>);
 
 impl Scrape<'_> {
-    /// A figure that counts up. It is written as a gauge is: the library puts `_total` behind the names of counters,
-    /// and these are scraped without.
-    fn count<'a, const N: usize>(
-        &mut self,
-        name: &str,
-        series: impl IntoIterator<Item = ([(&'a str, &'a str); N], u64)>,
-    ) -> Result<(), Error> {
-        self.figure(name, MetricType::Counter, series)
-    }
-
-    fn gauge<'a, const N: usize, V: EncodeGaugeValue>(
-        &mut self,
-        name: &str,
-        series: impl IntoIterator<Item = ([(&'a str, &'a str); N], V)>,
-    ) -> Result<(), Error> {
-        self.figure(name, MetricType::Gauge, series)
-    }
-
+    /// One figure, a line for each of its series. One that counts up is written as a gauge is: the library puts
+    /// `_total` behind the names of counters, and these are scraped without.
     fn figure<'a, const N: usize, V: EncodeGaugeValue>(
         &mut self,
         name: &str,
@@ -71,16 +55,16 @@
             [("passed", n.stood), ("dropped", n.refused), ("bad_gateway", n.failed)]
                 .map(|(outcome, n)| ([("category", class.as_str()), ("outcome", outcome)], n))
         });
-        scrape.count("handled", handled)?;
-        scrape.count("upstream_tries", [([], self.tries)])?;
-        scrape.gauge("in_progress", [([], self.in_progress)])?;
-        scrape.gauge("known_call_servers", [([], self.known)])?;
-        scrape.gauge("skipped_call_servers", [([], self.skipped)])?;
+        scrape.figure("handled", Counter, handled)?;
+        scrape.figure("upstream_tries", Counter, [([], self.tries)])?;
+        scrape.figure("in_progress", Gauge, [([], self.in_progress)])?;
+        scrape.figure("known_call_servers", Gauge, [([], self.known)])?;
+        scrape.figure("skipped_call_servers", Gauge, [([], self.skipped)])?;
         // Only where the fleet limits are on, so that a scrape of a program without them is as it was.
         if let Some(shed) = self.limits {
             let retries = [("sent", shed.retries_sent), ("shed", shed.retries)];
-            scrape.count("retries", retries.map(|(outcome, n)| ([("outcome", outcome)], n)))?;
-            scrape.count("first_attempts_shed", [([], shed.firsts_shed)])?;
+            scrape.figure("retries", Counter, retries.map(|(outcome, n)| ([("outcome", outcome)], n)))?;
+            scrape.figure("first_attempts_shed", Counter, [([], shed.firsts_shed)])?;
         }
         // Only where the settings allow messages and probes.
         if let Some(told) = &self.peers {
@@ -90,9 +74,9 @@
             shares(shared, &mut scrape)?;
         }
         if let Some(p) = self.probes {
-            scrape.count("probes_sent", [([], p.sent)])?;
+            scrape.figure("probes_sent", Counter, [([], p.sent)])?;
             let ended = [("answered", p.answered), ("turned_away", p.turned_away), ("failed", p.failed)];
-            scrape.count("probes_ended", ended.map(|(outcome, n)| ([("outcome", outcome)], n)))?;
+            scrape.figure("probes_ended", Counter, ended.map(|(outcome, n)| ([("outcome", outcome)], n)))?;
         }
         self.recovery.as_ref().map_or(Ok(()), |recovery| sites(recovery, &mut scrape))
     }
@@ -101,35 +85,35 @@
 /// The fleet's budgets and the control plane that divides them, where it is on.
 fn shares(shared: &ShareFigures, scrape: &mut Scrape) -> Result<(), Error> {
     let of_each = || shared.budgets.iter().map(|b| ([("budget", b.name.as_str())], b));
-    scrape.gauge("share_per_s", of_each().map(|(labels, b)| (labels, b.per_s)))?;
-    scrape.gauge("share_burst", of_each().map(|(labels, b)| (labels, b.burst)))?;
-    scrape.count("share_spent", of_each().map(|(labels, b)| (labels, b.spent)))?;
-    scrape.count("share_refused", of_each().map(|(labels, b)| (labels, b.refused)))?;
-    scrape.count("share_pressed_refused", [([], shared.pressed)])?;
+    scrape.figure("share_per_s", Gauge, of_each().map(|(labels, b)| (labels, b.per_s)))?;
+    scrape.figure("share_burst", Gauge, of_each().map(|(labels, b)| (labels, b.burst)))?;
+    scrape.figure("share_spent", Counter, of_each().map(|(labels, b)| (labels, b.spent)))?;
+    scrape.figure("share_refused", Counter, of_each().map(|(labels, b)| (labels, b.refused)))?;
+    scrape.figure("share_pressed_refused", Counter, [([], shared.pressed)])?;
     let c = &shared.control;
     let (master, epoch) = c.master.map_or((-1, 0), |(member, epoch)| (i64::from(member.0), epoch.0));
-    scrape.gauge("control_master", [([], master)])?;
-    scrape.gauge("control_epoch", [([], epoch)])?;
-    scrape.count("control_sent", [([], c.sent)])?;
-    scrape.count("control_heard", [([], c.heard)])?;
-    scrape.count("control_too_long", [([], c.too_long)])?;
+    scrape.figure("control_master", Gauge, [([], master)])?;
+    scrape.figure("control_epoch", Gauge, [([], epoch)])?;
+    scrape.figure("control_sent", Counter, [([], c.sent)])?;
+    scrape.figure("control_heard", Counter, [([], c.heard)])?;
+    scrape.figure("control_too_long", Counter, [([], c.too_long)])?;
     let r = &c.rounds;
-    scrape.count("control_rounds", [([], r.rounds)])?;
-    scrape.gauge("control_round_complete", [([], rounded(r.complete))])?;
-    scrape.gauge("control_round_waited_ms", [([], rounded(r.waited_ms))])?;
-    scrape.gauge("control_round_planned_ms", [([], rounded(r.planned_ms))])?;
+    scrape.figure("control_rounds", Counter, [([], r.rounds)])?;
+    scrape.figure("control_round_complete", Gauge, [([], rounded(r.complete))])?;
+    scrape.figure("control_round_waited_ms", Gauge, [([], rounded(r.waited_ms))])?;
+    scrape.figure("control_round_planned_ms", Gauge, [([], rounded(r.planned_ms))])?;
     let d = &c.dropped;
     let dropped =
         [("malformed", d.malformed), ("version", d.version), ("code", d.code), ("replayed", d.replayed)];
-    scrape.count("control_dropped", dropped.map(|(why, n)| ([("why", why)], n)))
+    scrape.figure("control_dropped", Counter, dropped.map(|(why, n)| ([("why", why)], n)))
 }
 
 /// Messages between border controllers.
 fn peers(p: &PeerFigures, scrape: &mut Scrape) -> Result<(), Error> {
-    scrape.count("peer_datagrams_sent", [([], p.sent)])?;
-    scrape.count("peer_datagrams_unsent", [([], p.unsent)])?;
-    scrape.count("peer_datagrams_heard", [([], p.heard)])?;
-    scrape.count("peer_words_taken", [([], p.taken)])?;
+    scrape.figure("peer_datagrams_sent", Counter, [([], p.sent)])?;
+    scrape.figure("peer_datagrams_unsent", Counter, [([], p.unsent)])?;
+    scrape.figure("peer_datagrams_heard", Counter, [([], p.heard)])?;
+    scrape.figure("peer_words_taken", Counter, [([], p.taken)])?;
     let dropped = [
         ("stranger", p.stranger),
         ("paced", p.paced),
@@ -141,7 +125,7 @@
         ("unlisted", p.unlisted),
         ("alone", p.alone),
     ];
-    scrape.count("peer_datagrams_dropped", dropped.map(|(why, n)| ([("why", why)], n)))
+    scrape.figure("peer_datagrams_dropped", Counter, dropped.map(|(why, n)| ([("why", why)], n)))
 }
 
 /// The sites' part of the figures, where there is a plan for their loss.
@@ -151,11 +135,11 @@
         [State::Up, State::Lost, State::Returning]
             .map(|state| ([site, ("state", state.name())], u64::from(s.state == state)))
     });
-    scrape.gauge("site_state", states)?;
-    scrape.gauge("site_share", of_each().map(|(labels, s)| (labels, rounded(s.share))))?;
-    scrape.count("site_calls_moved", of_each().map(|(labels, s)| (labels, s.moved)))?;
-    scrape.count("no_room_refused", [([], recovery.refused)])?;
-    scrape.gauge("no_room_share", [([], rounded(recovery.refused_share))])
+    scrape.figure("site_state", Gauge, states)?;
+    scrape.figure("site_share", Gauge, of_each().map(|(labels, s)| (labels, rounded(s.share))))?;
+    scrape.figure("site_calls_moved", Counter, of_each().map(|(labels, s)| (labels, s.moved)))?;
+    scrape.figure("no_room_refused", Counter, [([], recovery.refused)])?;
+    scrape.figure("no_room_share", Gauge, [([], rounded(recovery.refused_share))])
 }
 
 #[cfg(test)]
