--- a/src/net/control.rs
+++ b/src/net/control.rs
@@ -310,3 +310,37 @@
         self.parts = parts;
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// What the traffic side does with a control plane whose thread never turns: hand it datagrams, and look.
+    #[test]
+    fn a_thread_that_sleeps_holds_nobody_up() {
+        let text = "budgets: [{name: a, spend: set_ups, per_s: 100, burst: 60, floor: 0.2}]\n";
+        let settings = ControlSettings::parse(text).unwrap();
+        let place = Place { me: Member(0), members: 3, incarnation: 1, seed: 1 };
+        let ready = Ready::new(settings, place, Monotonic::start()).unwrap();
+        let (queue, since) = (ready.queue(), Instant::now());
+        let taken = (0..100_000).filter(|_| queue.try_send((1, vec![2; 100])).is_ok()).count();
+        assert_eq!(taken, QUEUE, "what does not fit is dropped");
+        let mut seen = 0;
+        let snapshot = ready.exchange.news(&mut seen).expect("the floors are there from the start");
+        assert!(snapshot.budgets.len() == 1 && snapshot.parts.is_empty());
+        assert!((0..100_000).all(|_| ready.exchange.news(&mut seen).is_none()));
+        assert!(since.elapsed() < Duration::from_secs(5));
+    }
+
+    #[test]
+    fn the_bookings_file_is_added_to_and_replaced_whole() {
+        let folder = tempfile::tempdir().unwrap();
+        let file = folder.path().join(BOOKINGS);
+        append(&file, b"one").unwrap();
+        append(&file, b"two").unwrap();
+        assert_eq!(std::fs::read(&file).unwrap(), b"onetwo");
+        replace(&file, b"three").unwrap();
+        append(&file, b"four").unwrap();
+        assert_eq!(std::fs::read(&file).unwrap(), b"threefour");
+    }
+}
