--- a/src/engine/shares.rs
+++ b/src/engine/shares.rs
@@ -4,7 +4,7 @@
 use super::{Due, Engine};
 use crate::interface::ServerId;
 use crate::shares::{Exchange, Purse};
-use crate::terms::{Budget, Spending};
+use crate::terms::{Budget, BudgetId, Spending};
 use std::collections::HashMap;
 use std::sync::Arc;
 
@@ -16,6 +16,12 @@
 /// were turned away in one second don't come back in one.
 const STAY_AWAY_FROM: f64 = 0.25;
 
+/// Part of a budget's burst that is kept for calls of the dearest class, where such calls come: what is cheaper is paid
+/// only from what is above it, so that under scarcity the rate is the dear ones' first.
+const KEPT: f64 = 0.5;
+/// A class counts as the dearest for so long after its last call, ms.
+const DEAR_MS: f64 = 5000.0;
+
 /// Of one budget, for operators' figures.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct BudgetFigures {
@@ -71,6 +77,8 @@
     budgets: Arc<Vec<Budget>>,
     /// Spent and refused, by the budgets' order.
     counts: Vec<(u64, u64)>,
+    /// The dearest that was to be paid of late, and when, by the budgets' order.
+    dearest: Vec<(f64, f64)>,
     pressed: u64,
     /// The driver's monotonic clock, ms.
     now: f64,
@@ -87,6 +95,7 @@
             seen: 0,
             purse: Purse::new(budgets.to_vec(), members, now),
             counts: vec![(0, 0); budgets.len()],
+            dearest: vec![(0.0, f64::NEG_INFINITY); budgets.len()],
             budgets,
             pressed: 0,
             now,
@@ -102,6 +111,7 @@
             let kept =
                 |b: &Budget| self.budgets.iter().position(|old| old.id == b.id).map(|at| self.counts[at]);
             self.counts = news.budgets.iter().map(|b| kept(b).unwrap_or_default()).collect();
+            self.dearest = vec![(0.0, f64::NEG_INFINITY); self.counts.len()];
             self.purse.budgets(self.now, &news.budgets);
             self.budgets = news.budgets.clone();
         }
@@ -113,10 +123,31 @@
     pub(super) fn pays(&mut self, payment: &Payment) -> bool {
         self.look();
         let (now, budgets) = (self.now, self.budgets.clone());
-        let pays =
-            budgets.iter().filter(|b| payment.falls_under(b)).all(|b| self.purse.level(now, b.id) >= 1.0);
+        // What is booked for a job is its own; beyond that its set-ups compete as others do.
         for (budget, (spent, refused)) in budgets.iter().zip(&mut self.counts) {
-            if payment.falls_under(budget) {
+            if budget.id.0 >= BudgetId::BOOKED && payment.falls_under(budget) {
+                let paid = self.purse.spend(now, budget.id);
+                *(if paid { &mut *spent } else { &mut *refused }) += 1;
+                self.exchange.asked(budget.id, payment.worth, paid);
+                if paid {
+                    return true;
+                }
+            }
+        }
+        let ordinary = |b: &Budget| b.id.0 < BudgetId::BOOKED && payment.falls_under(b);
+        let mut pays = true;
+        for (budget, dearest) in budgets.iter().zip(&mut self.dearest) {
+            if ordinary(budget) {
+                if payment.worth >= dearest.0 || now - dearest.1 > DEAR_MS {
+                    *dearest = (payment.worth, now);
+                }
+                let room = self.purse.room(now, budget.id).1;
+                let kept = if payment.worth < dearest.0 { KEPT * (room - 1.0).max(0.0) } else { 0.0 };
+                pays &= self.purse.level(now, budget.id) >= 1.0 + kept;
+            }
+        }
+        for (budget, (spent, refused)) in budgets.iter().zip(&mut self.counts) {
+            if ordinary(budget) {
                 let paid = pays && self.purse.spend(now, budget.id);
                 *(if paid { spent } else { refused }) += 1;
                 self.exchange.asked(budget.id, payment.worth, paid);
@@ -215,7 +246,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::terms::{BudgetId, Part};
+    use crate::terms::Part;
 
     fn budget(id: u16, spending: Spending, server: Option<&str>, class: Option<&str>) -> Budget {
         Budget {
@@ -277,6 +308,42 @@
         assert!(!p.pays(&Payment { number: Some("00461"), ..set_up("s-a", "voice") }));
     }
 
+    #[test]
+    fn under_scarcity_the_dear_are_paid_first_and_nothing_is_kept_where_none_come() {
+        let mut p = parts(&[budget(0, Spending::SetUps, None, None)]);
+        give(&mut p, &[0], 1e6);
+        let pay = |p: &mut Parts, worth| u32::from(p.pays(&Payment { worth, ..set_up("s-a", "voice") }));
+        let mut paid = [0; 2];
+        // 40 a second want one of 10, every fifth of them of worth 3.
+        for i in 0..400u32 {
+            p.now = f64::from(i) * 25.0;
+            let dear = i % 5 == 0;
+            paid[usize::from(dear)] += pay(&mut p, if dear { 3.0 } else { 1.0 });
+        }
+        assert!(paid[1] >= 78 && (15..=25).contains(&paid[0]), "{paid:?}");
+        p.now = 20_000.0;
+        assert_eq!(
+            (0..9).map(|_| pay(&mut p, 1.0)).sum::<u32>(),
+            4,
+            "the whole burst, with no dear ones about"
+        );
+    }
+
+    #[test]
+    fn a_jobs_set_ups_are_paid_from_its_booking_and_beyond_it_as_others() {
+        let job = Budget {
+            number_prefix: Some("0045".into()),
+            ..budget(BudgetId::BOOKED, Spending::SetUps, None, None)
+        };
+        let mut p = parts(&[budget(0, Spending::SetUps, None, None), job]);
+        give(&mut p, &[0, BudgetId::BOOKED], 9000.0);
+        p.now = 200.0;
+        assert_eq!((0..9).filter(|_| p.pays(&set_up("s-a", "voice"))).count(), 4, "two of each");
+        assert!(!p.pays(&Payment { number: None, ..set_up("s-a", "voice") }));
+        let figures = p.figures();
+        assert_eq!((figures.budgets[0].spent, figures.budgets[1].spent), (2, 2));
+    }
+
     /// A control thread that died or is stuck publishes nothing more: its parts lapse, and no answer waits for it.
     #[test]
     fn parts_lapse_by_the_monotonic_clock_where_nobody_renews_them() {
