--- a/tests/peers/main.rs
+++ b/tests/peers/main.rs
@@ -57,6 +57,8 @@
             places: 1,
             limits: None,
             sites: None,
+            control: None,
+            log: None,
             management: true,
             audit: false,
             links: self.links.as_ref(),
