Let servers heard of stand in for one not heard of lately, as in large fleets

Change: `refused_share` takes the mean share that the other servers' latest signs told to refuse, as far as the server's own sign is old; eight signs at least weigh against it.

Test: servers_heard_of_stand_in_for_one_that_is_not_until_they_too_fall_silent.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -7,6 +7,7 @@
 
 use crate::interface::*;
 use std::collections::{BTreeMap, VecDeque};
+type Out<'a> = &'a mut Vec<Action>;
 
 /// Give-up rate over the service rate, the paper's benchmark value (section III-A); no unit.
 const BETA: f64 = 0.071;
@@ -56,6 +57,8 @@
 /// Part of the lines that are thought free: calls want one server more than its size says, and each too many
 /// costs its processor a look.
 const LINES_PART: f64 = 0.8;
+/// Fewer signs than this tell of one server, not of the fleet's load.
+const SIGNS_LEAST: f64 = 8.0;
 /// Free lines are told about so often, ms.
 const LINES_TOLD_MS: f64 = 1000.0;
 /// No rate is taken over less than this, ms: the first call would make any.
@@ -111,9 +114,9 @@
     wait_ms: f64,
     wait_at: f64,
     /// The last wait that this sender's own set-up met, when that was heard, and when the set-up was sent.
-    met_ms: f64,
-    met_at: f64,
-    met_sent: f64,
+    met: (f64, f64, f64),
+    /// When it last gave a sign of its line: a report, a 'full' or an answer.
+    sign_at: f64,
     /// What a set-up costs its processor, as reported, ms.
     service_ms: Option<f64>,
     /// The last report, to tell a fresh one from a repeat, and when this sender or a sibling told of one.
@@ -153,9 +156,8 @@
             set_at: now,
             wait_ms: 0.0,
             wait_at: now,
-            met_ms: 0.0,
-            met_at: now,
-            met_sent: f64::NEG_INFINITY,
+            met: (0.0, now, f64::NEG_INFINITY),
+            sign_at: now,
             service_ms: None,
             last_report: LoadReport::default(),
             told_at: f64::NEG_INFINITY,
@@ -191,7 +193,7 @@
         while self.past.front().is_some_and(|&(until, _)| now - until > REPORT_AGE_MS) {
             self.past.pop_front();
         }
-        (self.b, self.set_at) = (b.clamp(0.0, B_CAP), now);
+        (self.b, self.set_at, self.sign_at) = (b.clamp(0.0, B_CAP), now, now);
     }
 
     /// The wait in its line now, as far as is known here: the last reading less the time since, in which at
@@ -218,7 +220,18 @@
     /// What is left of the last reading, or of what a set-up from here met: a line works off at most the time
     /// since. Reports may be seconds late: they do not lower what was met here.
     fn left_of_read(&self, now: f64) -> f64 {
-        (self.wait_ms - (now - self.wait_at)).max(self.met_ms - (now - self.met_at))
+        (self.wait_ms - (now - self.wait_at)).max(self.met.0 - (now - self.met.1))
+    }
+
+    /// The share that b and a line of `backlog` refuse, with `most` the longest useful wait.
+    fn refuses(&self, now: f64, backlog: f64, most: f64) -> f64 {
+        let room = (most - backlog.max(0.0)) / (most - EASY_PART * most);
+        1.0 - (1.0 - self.b(now)) * room.clamp(1.0 - B_CAP, 1.0)
+    }
+
+    /// How much its last sign still counts: half for each time in which b halves.
+    fn freshness(&self, now: f64) -> f64 {
+        0.5_f64.powf((now - self.sign_at) / HALVING_MS)
     }
 
     fn read_wait(&mut self, now: f64, wait: f64) {
@@ -227,8 +240,8 @@
 
     /// A set-up sent then met this wait; only one sent later tells of a shorter line.
     fn meet_wait(&mut self, now: f64, sent: f64, wait: f64) {
-        if sent >= self.met_sent {
-            (self.met_ms, self.met_at, self.met_sent) = (line_of(wait), now, sent);
+        if sent >= self.met.2 {
+            (self.met, self.sign_at) = ((line_of(wait), now, sent), now);
         }
     }
 
@@ -522,14 +535,7 @@
 
     /// A probe that fails found a line too long to be answered in time. One turned away met others in the
     /// line: the server is pressed now, whatever the late reports say.
-    fn probed(
-        &mut self,
-        now: f64,
-        id: ServerId,
-        outcome: ProbeOutcome,
-        report: &LoadReport,
-        out: &mut Vec<Action>,
-    ) {
+    fn probed(&mut self, now: f64, id: ServerId, outcome: ProbeOutcome, report: &LoadReport, out: Out) {
         let most = self.useful_wait_ms();
         let Some(s) = self.servers.get_mut(&id) else { return };
         match outcome {
@@ -664,16 +670,24 @@
         if most.is_finite() { most.max(1.0) } else { HALVING_MS }
     }
 
-    /// The share refused now. The paper's b presumes a steady line; a line with work in hand can take so much
-    /// less, at the longest useful wait what b's cap lets in: with nothing sent no news would come. A cold
-    /// server has less capacity: μ is lower now.
-    fn refused_share(&self, now: f64, s: &Server) -> f64 {
+    /// The share refused now. The paper's b presumes a steady line; one with work in hand takes less, down to
+    /// what b's cap lets in: with nothing sent no news would come. A cold server has less capacity.
+    fn refused_share(&self, now: f64, s: &Server, (signs, told): (f64, f64)) -> f64 {
         let most = self.useful_wait_ms();
-        let easy = EASY_PART * most;
         let quickest = if self.quickest_ms.is_finite() { self.quickest_ms } else { FIRST_SERVICE_MS };
-        let each = self.service_ms(s) * self.siblings();
-        let room = ((most - s.backlog_ms(now, quickest, each)) / (most - easy)).clamp(1.0 - B_CAP, 1.0);
-        (1.0 - (1.0 - s.b(now)) * room).max(1.0 - self.warmth(now, s)).max(self.short_of_lines(s))
+        let backlog = s.backlog_ms(now, quickest, self.service_ms(s) * self.siblings());
+        // Of a large fleet each sender hears of a server but every few seconds: the others stand in for it.
+        let elsewhere = (1.0 - s.freshness(now)) * told / signs.max(SIGNS_LEAST);
+        let least = elsewhere.max(1.0 - self.warmth(now, s)).max(self.short_of_lines(s));
+        s.refuses(now, backlog, most).max(least)
+    }
+
+    /// The signs of all ready servers, each as it counts now, and the shares that they told to refuse.
+    fn signs(&self, now: f64) -> (f64, f64) {
+        let most = self.useful_wait_ms();
+        let share = |s: &Server| s.refuses(s.sign_at, s.left_of_read(s.sign_at), most);
+        let heard = self.servers.values().filter(|s| s.state == Listed::Ready);
+        heard.map(|s| (s.freshness(now), share(s))).fold((0.0, 0.0), |(n, x), (f, y)| (n + f, x + f * y))
     }
 
     /// Where a call ranks among those of late, 0 to 1, the dear ones high and a draw between equals: a server
@@ -727,10 +741,12 @@
     fn choose(&self, now: f64, live: &Live) -> Option<ServerId> {
         // Where a call got an error it goes only if there is nowhere else.
         let open = |id: ServerId, s: &Server| self.open(now, id, s);
+        let signs = self.signs(now);
         let other = |id: ServerId| live.faulted != Some(id);
         let elsewhere = self.servers.iter().any(|(&id, s)| other(id) && open(id, s));
         let open = self.servers.iter().filter(|&(&id, s)| open(id, s) && (other(id) || !elsewhere));
-        let allowed = open.map(|(&id, s)| (id, s, self.refused_share(now, s))).filter(|a| a.2 <= live.rank);
+        let allowed =
+            open.map(|(&id, s)| (id, s, self.refused_share(now, s, signs))).filter(|a| a.2 <= live.rank);
         // Between equals each call draws lots by size: the lowest id would be every sender's choice.
         let lot = |id: ServerId, s: &Server| -(1.0 - lot(live.draw.to_bits(), id)).ln() / s.size;
         let preference = |id: ServerId, s: &Server, refused: f64| match refused <= live.draw {
@@ -947,15 +963,7 @@
         self.count_stood(now, server);
     }
 
-    fn ended(
-        &mut self,
-        now: f64,
-        id: CallId,
-        server: ServerId,
-        outcome: Outcome,
-        closed: bool,
-        out: &mut Vec<Action>,
-    ) {
+    fn ended(&mut self, now: f64, id: CallId, server: ServerId, outcome: Outcome, closed: bool, out: Out) {
         let Some(live) = self.calls.get_mut(&id) else { return };
         if closed {
             self.calls.remove(&id);
--- a/tests/controller.rs
+++ b/tests/controller.rs
@@ -215,6 +215,19 @@
     assert_eq!(rig.refused_share(200), 0.0, "no load: nothing is refused");
 }
 
+#[test]
+fn servers_heard_of_stand_in_for_one_that_is_not_until_they_too_fall_silent() {
+    let mut rig = Rig::new(Settings { siblings: 300, ..settings() }, 10);
+    rig.run_until(5000.0);
+    (1..10).for_each(|n| rig.report(n, hold_back(0.95)));
+    let refused = until_sent(&mut rig).0;
+    assert!((4..300).contains(&refused), "the one not heard of is as pressed as the rest: {refused}");
+    let mut rig = Rig::new(Settings { siblings: 300, ..settings() }, 10);
+    (1..10).for_each(|n| rig.report(n, hold_back(0.95)));
+    rig.run_until(9000.0);
+    assert_eq!(until_sent(&mut rig).0, 0, "nothing was heard for long");
+}
+
 /// Nothing is kept of a server that is gone: on a long day they come and go under ever new ids.
 #[test]
 fn a_server_that_is_gone_is_forgotten() {
