--- a/src/policy.rs
+++ b/src/policy.rs
@@ -394,7 +394,7 @@
             }
             Event::Standing { call, server, after_ms } => self.stands(now, call, server, after_ms),
             Event::Ended { call, server, outcome, closed, report } => {
-                self.heard_outcome(now, call, server, outcome, &report, out);
+                self.read_end(now, call, server, outcome, &report, out);
                 self.ended(now, call, server, outcome, closed, out);
             }
             Event::Lines { server, report } => self.read_lines(server, &report),
@@ -560,20 +560,20 @@
     }
 
     /// What an attempt's end says of its server.
-    fn heard_outcome(
+    fn read_end(
         &mut self,
         now: f64,
         call: CallId,
         id: ServerId,
-        outcome: Outcome,
+        how: Outcome,
         report: &LoadReport,
-        out: &mut Vec<Action>,
+        out: Out,
     ) {
         let sent = self.calls.get(&call).and_then(|live| live.out.as_ref()).map(|a| a.sent);
         let first = self.calls.get(&call).is_some_and(|live| live.faulted.is_none());
         let Some(s) = self.servers.get_mut(&id) else { return };
-        s.forget(now, call, matches!(outcome, Outcome::TimedOut | Outcome::Cancelled));
-        match outcome {
+        s.forget(now, call, matches!(how, Outcome::TimedOut | Outcome::Cancelled));
+        match how {
             // If one sent later was answered, its connection broke, and the server lives.
             Outcome::Reset if sent.is_some_and(|at| at <= s.passed) => {}
             Outcome::NotConnected | Outcome::Reset if sent.is_some() => s.failures += MANY_FAILURES,
@@ -663,10 +663,8 @@
 
     /// The share of first set-ups that is refused at a server now; all where it gets nothing.
     pub fn share_refused(&self, now: f64, id: ServerId) -> f64 {
-        match self.servers.get(&id) {
-            Some(s) if self.open(now, id, s) => self.refused_share(now, s),
-            _ => 1.0,
-        }
+        let open = self.servers.get(&id).filter(|s| self.open(now, id, s));
+        open.map_or(1.0, |s| self.refused_share(now, s, self.signs(now)))
     }
 
     /// The longest wait in a line that serves anyone: beyond it set-ups are repeated, or stand too late, as
