--- a/src/policy.rs
+++ b/src/policy.rs
@@ -560,15 +560,7 @@
     }
 
     /// What an attempt's end says of its server.
-    fn read_end(
-        &mut self,
-        now: f64,
-        call: CallId,
-        id: ServerId,
-        how: Outcome,
-        report: &LoadReport,
-        out: Out,
-    ) {
+    fn read_end(&mut self, now: f64, call: CallId, id: ServerId, how: Outcome, told: &LoadReport, out: Out) {
         let sent = self.calls.get(&call).and_then(|live| live.out.as_ref()).map(|a| a.sent);
         let first = self.calls.get(&call).is_some_and(|live| live.faulted.is_none());
         let Some(s) = self.servers.get_mut(&id) else { return };
@@ -591,7 +583,7 @@
             }
             _ => {}
         }
-        self.hear(now, id, report, out);
+        self.hear(now, id, told, out);
     }
 
     // ---- admission and choice ----
