Ask keepers again within a bid: a mastership stands on a bad network

On a network that loses 15%, doubles, damages 10% and reorders, a mastership was won and lost again within 0.4 s where two of three keepers were left, and as a new grantor lets nothing grow for a lease, next to nothing was in parts.

With two left the other one's answer is needed in both halves, four datagrams in a row, each lost one time in four, or held back for longer than a half's time (60 ms at a lease of 600). Then came a wait with a draw of up to 60 ms more, so that a renewal had one try and a half before the lease was over. The lease's two fifths, refusals and duels made no difference that could be measured.

Now who has not answered is asked again every tenth of the bid's time, the second half may take half the lease (it counts from its beginning), and a grantor whose renewal came to nothing begins the next without a draw. Repeats are doubled datagrams to the proof: the model, which delivers again at will, is unchanged and its planted faults are found.

--- a/src/shares/mastership.rs
+++ b/src/shares/mastership.rs
@@ -1,7 +1,8 @@
 //! Who grants: one keeper at a time, by leases of a majority (PaxosLease). Nothing is kept on disk: a keeper that has
 //! just started takes no part for a whole bid and a lease, after which all it might have promised before has lapsed. A
 //! proposer counts its lease from before it proposes, an acceptor from when it accepts, each with the bound on drift
-//! on its side, so the owner's view of it ends before anybody else's.
+//! on its side, so the owner's view of it ends before anybody else's. Within a bid what was not answered is asked
+//! again: a repeat is a doubled datagram, and the lease counts from the first.
 
 use super::message::Message;
 use super::settings::ShareSettings;
@@ -10,6 +11,8 @@
 
 /// Longest spread of keepers' bids after a lease has lapsed, ms.
 const SPREAD_MS: f64 = 300.0;
+/// Within a bid's patience a keeper that was not heard is asked so often.
+const ASKED: f64 = 10.0;
 /// Ballots above this are taken for garbage: counting on from one must not wrap.
 const BALLOT_MAX: u64 = 1 << 62;
 
@@ -32,6 +35,7 @@
     /// Since when the lease would count.
     proposed: Option<f64>,
     accepted: Vec<Member>,
+    repeat_at: f64,
     give_up_at: f64,
 }
 
@@ -137,7 +141,7 @@
 
     pub(super) fn due(&self) -> f64 {
         let bid = match &self.bid {
-            Some(bid) => bid.give_up_at,
+            Some(bid) => bid.give_up_at.min(bid.repeat_at),
             None if self.left => f64::INFINITY,
             None => self.bid_at,
         };
@@ -151,6 +155,7 @@
         if self.bid.as_ref().is_some_and(|bid| now >= bid.give_up_at) {
             self.again(now);
         }
+        self.repeat(now, sends);
         if self.left || self.bid.is_some() || now < self.bid_at {
             return;
         }
@@ -169,16 +174,32 @@
             promised: Vec::new(),
             proposed: None,
             accepted: Vec::new(),
+            repeat_at: now + self.patience_ms / ASKED,
             give_up_at: now + self.patience_ms,
         });
         self.send_all(&Message::Prepare { ballot, run: self.run }, sends);
     }
 
-    /// A bid came to nothing.
+    /// A bid came to nothing. Who grants bids again without a draw: while the lease stands no other bid succeeds.
     fn again(&mut self, now: f64) {
         self.bid = None;
-        let spread = self.spread();
-        self.bid_at = now + if self.epoch(now).is_some() { 0.1 } else { 0.5 } * self.patience_ms + spread;
+        let grants = self.epoch(now).is_some();
+        let wait = if grants { 0.1 * self.patience_ms } else { 0.5 * self.patience_ms + self.spread() };
+        self.bid_at = now + wait;
+    }
+
+    /// Asks those again that have not answered.
+    fn repeat(&mut self, now: f64, sends: &mut Sends) {
+        let (run, every, me) = (self.run, self.patience_ms / ASKED, self.me);
+        let Some(bid) = self.bid.as_mut().filter(|bid| now >= bid.repeat_at) else { return };
+        bid.repeat_at = now + every;
+        let ballot = bid.ballot;
+        let (message, heard) = match bid.proposed {
+            None => (Message::Prepare { ballot, run }, &bid.promised),
+            Some(_) => (Message::Propose { ballot, run }, &bid.accepted),
+        };
+        let unheard = |to: &&Member| **to != me && !heard.contains(to);
+        sends.extend(self.keepers.iter().filter(unheard).map(|&to| (to, message.clone())));
     }
 
     fn send_all(&self, message: &Message, sends: &mut Sends) {
@@ -276,7 +297,8 @@
         }
         if bid.promised.len() >= self.majority {
             bid.proposed = Some(now);
-            bid.give_up_at = now + self.patience_ms;
+            bid.repeat_at = now + self.patience_ms / ASKED;
+            bid.give_up_at = now + self.own_ms / 2.0;
             self.send_all(&Message::Propose { ballot: n, run }, sends);
         }
     }
--- a/tests/shares_sim.rs
+++ b/tests/shares_sim.rs
@@ -132,6 +132,50 @@
     assert!(breached);
 }
 
+/// What a fleet of five did in a minute with two of its three keepers, on a network that loses so much, doubles and
+/// reorders: masterships, the share of the time in which one granted, and the mean share of the budget in parts.
+fn two_keepers(lease_ms: f64, loss: f64, seed: u64) -> (u64, f64, f64) {
+    let mut settings = settings(5, 2 * seed);
+    (settings.shares.lease_ms, settings.shares.round_ms) = (lease_ms, lease_ms / 4.0);
+    settings.shares.budgets.truncate(1);
+    settings.journey_ms = (0.0, 20.0);
+    settings.faults =
+        Faults { loss, double: 0.15, late: 0.15, late_ms: 100.0, drift: 0.02, ..settings.faults };
+    let whole = settings.shares.budgets[0].per_s * (1.0 - settings.shares.budgets[0].floor);
+    let mut fleet = Fleet::new(settings);
+    (0..5).for_each(|node| fleet.demand(node, &[60.0]));
+    fleet.run(5.0 * lease_ms);
+    fleet.crash(2);
+    let from = 10.0 * lease_ms;
+    fleet.run(from);
+    let (before, mut granted, mut held) = (fleet.seen.masterships, 0.0, 0.0);
+    for look in 1..=6000 {
+        fleet.run(from + 10.0 * f64::from(look));
+        granted += fleet.grantors().len() as f64 / 6000.0;
+        held += fleet.held(BudgetId(0), None) / whole / 6000.0;
+    }
+    assert_eq!(fleet.seen.breach, None);
+    (fleet.seen.masterships - before, granted, held)
+}
+
+#[test]
+fn a_mastership_stands_with_two_of_three_keepers_on_a_bad_network() {
+    // Found to fail before: with each keeper asked once in a bid 91, 66 and 17 masterships a minute, and 0.22, 0.01
+    // and 0.07 of the budget in parts.
+    for (lease_ms, loss, parts) in [(600.0, 0.15, 0.9), (600.0, 0.3, 0.8), (3000.0, 0.3, 0.8)] {
+        let runs: Vec<_> = (0..4).map(|seed| two_keepers(lease_ms, loss, seed)).collect();
+        let masterships = runs.iter().map(|r| r.0).sum::<u64>() as f64 / 4.0;
+        let mean = |of: fn(&(u64, f64, f64)) -> f64| runs.iter().map(of).sum::<f64>() / 4.0;
+        let (granted, held) = (mean(|r| r.1), mean(|r| r.2));
+        let seen = format!(
+            "lease {lease_ms} ms, {loss} lost: {masterships} masterships a minute, {granted:.4} of the time granted, \
+             {held:.3} in parts"
+        );
+        println!("{seen}");
+        assert!(masterships <= 3.0 && granted >= 0.995 && held >= parts, "{seen}");
+    }
+}
+
 #[test]
 fn a_thousand_members_share_a_budget() {
     let mut settings = settings(1000, 5);
