Scale set-up times by size, count overflow for all senders, skip lines callers give up in

Now service times scale by lines where lines are told and no rate is; at another than the first choice each unanswered set-up counts for every sender; and a call goes into no line that its caller would not outlast twice over.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -196,17 +196,6 @@
         (self.b, self.set_at, self.sign_at) = (b.clamp(0.0, B_CAP), now, now);
     }
 
-    /// The wait in its line now, as far as is known here: the last reading less the time since, in which at
-    /// most so much was worked off; or what the oldest unanswered set-up has waited already; or the work that
-    /// the unanswered ones are, `each` ms.
-    fn backlog_ms(&self, now: f64, quickest: f64, each: f64) -> f64 {
-        // One whose successor was answered waits for an answer that went astray, not in the line. To call it
-        // lost takes more, but it must not close the server: with nothing sent, none would ever pass it.
-        let mut in_line = self.waiting().filter(|&&(_, sent)| sent >= self.passed - PASSING_MS);
-        let oldest = in_line.next().map_or(0.0, |&(_, sent)| now - sent - quickest);
-        self.left_of_read(now).max(oldest).max((self.waiting().count() as f64 - 1.0) * each).max(0.0)
-    }
-
     /// Set-ups still in its line. The line is first come, first served: one sent well before another that was
     /// answered is lost, on its way or on its answer's, and says nothing of the wait.
     fn waiting(&self) -> impl Iterator<Item = &(CallId, f64)> {
@@ -300,12 +289,6 @@
     }
 }
 
-/// What a customer has left of this sender's part of its share, in calls.
-struct Allowance {
-    left: f64,
-    at: f64,
-}
-
 /// Where a call stands with this sender; a standing call is no longer kept.
 struct Live {
     call: Call,
@@ -341,11 +324,13 @@
     calls: BTreeMap<CallId, Live>,
     wakes: BTreeMap<u64, CallId>,
     next_token: u64,
-    /// Quickest set-up seen, ms.
+    /// Quickest set-up seen, ms, and the least of such a time by its server's lines, ms a line.
     quickest_ms: f64,
+    quickest_by_size: f64,
     /// Worths of the calls of late, ascending, each with its weight.
     mix: Vec<(f64, f64)>,
-    allowances: BTreeMap<usize, Allowance>,
+    /// What each customer had left of this sender's part of its share, in calls, and when.
+    allowances: BTreeMap<usize, (f64, f64)>,
     started: f64,
     first_tries: f64,
     /// Calls handed to this sender, and those that came to stand at warm servers, by line of theirs.
@@ -378,6 +363,7 @@
             wakes: BTreeMap::new(),
             next_token: 0,
             quickest_ms: f64::INFINITY,
+            quickest_by_size: f64::INFINITY,
             mix: Vec::new(),
             allowances: BTreeMap::new(),
             dialled: BTreeMap::new(),
@@ -447,11 +433,30 @@
 
     // ---- reports and b ----
 
-    /// What a set-up takes of this server's processor: by what it says it can take, else by the quickest.
+    /// What a set-up takes of this server's processor: by what it says it can take, else by the quickest, and
+    /// the longer the smaller it is: a processor is as large as its server's lines.
     fn service_ms(&self, s: &Server) -> f64 {
-        let learned = self.quickest_ms * SERVICE_PART;
-        let learned = if learned.is_finite() && learned > 0.0 { learned } else { FIRST_SERVICE_MS };
-        s.service_ms.unwrap_or(learned)
+        let by_size = if s.size > 1.0 { self.quickest_by_size / s.size } else { 0.0 };
+        let learned = by_size.max(self.quickest_ms) * SERVICE_PART;
+        let known = learned.is_finite() && learned > 0.0;
+        s.service_ms.unwrap_or(if known { learned.min(SERVICE_MAX_MS) } else { FIRST_SERVICE_MS })
+    }
+
+    fn quickest_ms(&self) -> f64 {
+        if self.quickest_ms.is_finite() { self.quickest_ms } else { FIRST_SERVICE_MS }
+    }
+
+    /// The wait in its line now, as far as is known here: the last reading less the time since, in which at
+    /// most so much was worked off; or what the oldest unanswered set-up has waited already; or the work of
+    /// those that all senders have there, if each has as many as this one. Calls come to their first choices
+    /// one by one, and one unanswered there is no line; turned away they go elsewhere all at once.
+    fn backlog_ms(&self, now: f64, s: &Server, first_choice: bool) -> f64 {
+        // One whose successor was answered waits for an answer that went astray, not in the line. To call it
+        // lost takes more, but it must not close the server: with nothing sent, none would ever pass it.
+        let mut in_line = s.waiting().filter(|&&(_, sent)| sent >= s.passed - PASSING_MS);
+        let oldest = in_line.next().map_or(0.0, |&(_, sent)| now - sent - self.quickest_ms());
+        let sent = s.waiting().count().saturating_sub(first_choice.into()) as f64;
+        s.left_of_read(now).max(oldest).max(sent * self.service_ms(s) * self.siblings()).max(0.0)
     }
 
     fn read_lines(&mut self, server: ServerId, report: &LoadReport) {
@@ -571,15 +576,13 @@
             Outcome::NotConnected | Outcome::Reset if sent.is_some() => s.failures += MANY_FAILURES,
             Outcome::Fault if sent.is_some() && first => s.failures += 1,
             Outcome::Completed => s.heard(now),
-            Outcome::NoLine => {
-                s.heard(now);
-                s.full_until = now + FULL_ONCE_MS;
-            }
-            Outcome::ProcessorFull { wait_ms } => {
+            Outcome::NoLine | Outcome::ProcessorFull { .. } => {
                 s.heard(now);
                 s.full_until = now + FULL_ONCE_MS;
-                s.meet_wait(now, sent.unwrap_or(now), sane(wait_ms).unwrap_or(0.0));
-                s.count_full(now);
+                if let Outcome::ProcessorFull { wait_ms } = how {
+                    s.meet_wait(now, sent.unwrap_or(now), sane(wait_ms).unwrap_or(0.0));
+                    s.count_full(now);
+                }
             }
             _ => {}
         }
@@ -656,7 +659,7 @@
     /// The share of first set-ups that is refused at a server now; all where it gets nothing.
     pub fn share_refused(&self, now: f64, id: ServerId) -> f64 {
         let open = self.servers.get(&id).filter(|s| self.open(now, id, s));
-        open.map_or(1.0, |s| self.refused_share(now, s, self.signs(now)))
+        open.map_or(1.0, |s| self.refused_share(now, s, self.signs(now), self.backlog_ms(now, s, true)))
     }
 
     /// The longest wait in a line that serves anyone: beyond it set-ups are repeated, or stand too late, as
@@ -670,14 +673,11 @@
 
     /// The share refused now. The paper's b presumes a steady line; one with work in hand takes less, down to
     /// what b's cap lets in: with nothing sent no news would come. A cold server has less capacity.
-    fn refused_share(&self, now: f64, s: &Server, (signs, told): (f64, f64)) -> f64 {
-        let most = self.useful_wait_ms();
-        let quickest = if self.quickest_ms.is_finite() { self.quickest_ms } else { FIRST_SERVICE_MS };
-        let backlog = s.backlog_ms(now, quickest, self.service_ms(s) * self.siblings());
+    fn refused_share(&self, now: f64, s: &Server, (signs, told): (f64, f64), backlog: f64) -> f64 {
         // Of a large fleet each sender hears of a server but every few seconds: the others stand in for it.
         let elsewhere = (1.0 - s.freshness(now)) * told / signs.max(SIGNS_LEAST);
         let least = elsewhere.max(1.0 - self.warmth(now, s)).max(self.short_of_lines(s));
-        s.refuses(now, backlog, most).max(least)
+        s.refuses(now, backlog, self.useful_wait_ms()).max(least)
     }
 
     /// The signs of all ready servers, each as it counts now, and the shares that they told to refuse.
@@ -713,11 +713,10 @@
         let own = (self.first_tries + even * SIZE_PRIOR_MS) / (now - self.started + SIZE_PRIOR_MS);
         let rate = customer.quota_per_s / quotas.max(f64::MIN_POSITIVE) * own * OWN_PART;
         let most = (rate * SHARE_BURST_MS).max(1.0);
-        let allowance = self.allowances.entry(call.customer).or_insert(Allowance { left: most, at: now });
-        allowance.left = (allowance.left + rate * (now - allowance.at)).min(most);
-        allowance.at = now;
-        if allowance.left >= 1.0 {
-            allowance.left -= 1.0;
+        let (left, at) = self.allowances.entry(call.customer).or_insert((most, now));
+        (*left, *at) = ((*left + rate * (now - *at)).min(most), now);
+        if *left >= 1.0 {
+            *left -= 1.0;
             worth
         } else {
             worth * self.settings.over_share_worth
@@ -740,15 +739,21 @@
         // Where a call got an error it goes only if there is nowhere else.
         let open = |id: ServerId, s: &Server| self.open(now, id, s);
         let signs = self.signs(now);
+        let first = |s: &Server| Some(s.place) == live.call.first_choice;
         let other = |id: ServerId| live.faulted != Some(id);
         let elsewhere = self.servers.iter().any(|(&id, s)| other(id) && open(id, s));
         let open = self.servers.iter().filter(|&(&id, s)| open(id, s) && (other(id) || !elsewhere));
-        let allowed =
-            open.map(|(&id, s)| (id, s, self.refused_share(now, s, signs))).filter(|a| a.2 <= live.rank);
+        let lines = open.map(|(&id, s)| (id, s, self.backlog_ms(now, s, first(s))));
+        // Nor into a line that its caller won't outlast, with the answer in it once more: all work in vain.
+        let left = live.deadline - now - MARGIN_MS - self.quickest_ms();
+        let allowed = lines
+            .filter(|&(_, _, line)| 2.0 * line <= left)
+            .map(|(id, s, line)| (id, s, self.refused_share(now, s, signs, line)))
+            .filter(|a| a.2 <= live.rank);
         // Between equals each call draws lots by size: the lowest id would be every sender's choice.
         let lot = |id: ServerId, s: &Server| -(1.0 - lot(live.draw.to_bits(), id)).ln() / s.size;
         let preference = |id: ServerId, s: &Server, refused: f64| match refused <= live.draw {
-            true if Some(s.place) == live.call.first_choice => (0, 0.0, 0.0),
+            true if first(s) => (0, 0.0, 0.0),
             true => (1, s.waiting().count() as f64, lot(id, s)),
             false => (2, refused, lot(id, s)),
         };
@@ -819,13 +824,10 @@
         let stay_away_ms = self.stay_away_ms(now, live);
         let may_hold = now < live.hold_until && live.rank >= HOLD_RANK;
         let chosen = self.choose(now, live);
-        if self.told_by_probes_alone() {
-            let wanted = |s: &Server| Some(s.place) == live.call.first_choice && s.waiting().next().is_some();
-            let closed =
-                self.servers.iter().find(|&(&id, s)| chosen != Some(id) && wanted(s)).map(|(&id, _)| id);
-            if let Some(server) = closed.filter(|&server| self.worth_a_probe(now, server)) {
-                self.ask(now, None, server, out);
-            }
+        let wanted = |s: &Server| Some(s.place) == live.call.first_choice && s.waiting().next().is_some();
+        let closed = self.servers.iter().find(|&(&id, s)| chosen != Some(id) && wanted(s)).map(|(&id, _)| id);
+        if let Some(server) = closed.filter(|&server| self.worth_a_probe(now, server)) {
+            self.ask(now, None, server, out);
         }
         match chosen {
             Some(server) if self.worth_a_probe(now, server) => self.ask(now, Some(id), server, out),
@@ -839,10 +841,8 @@
     /// still stand in its aim then; else as late as callers heed, as it would take a first try's place.
     fn stay_away_ms(&self, now: f64, live: &Live) -> f64 {
         let most = self.settings.stay_away_max_ms.max(0.0);
-        let quickest = if self.quickest_ms.is_finite() { self.quickest_ms } else { FIRST_SERVICE_MS };
-        let each = |s: &Server| self.service_ms(s) * self.siblings();
         let ready = self.servers.values().filter(|s| s.state == Listed::Ready && !s.silent(now));
-        let opens = |s: &Server| (s.full_until - now).max(s.backlog_ms(now, quickest, each(s))).max(0.0);
+        let opens = |s: &Server| (s.full_until - now).max(self.backlog_ms(now, s, true)).max(0.0);
         let soonest = ready.map(opens).fold(f64::INFINITY, f64::min).max(FULL_ONCE_MS);
         let left = live.first_dialled + self.class_of(&live.call).target_ms - now;
         if soonest < left { soonest.min(most) } else { most }
@@ -952,6 +952,8 @@
             s.heard(now);
             if let Some(ms) = sane(Some(after_ms)).filter(|&ms| ms > 0.0) {
                 self.quickest_ms = self.quickest_ms.min(ms);
+                let by_size = if s.size > 1.0 { ms * s.size } else { f64::INFINITY };
+                self.quickest_by_size = self.quickest_by_size.min(by_size);
                 s.meet_wait(now, sent.unwrap_or(now), (ms - self.quickest_ms - PASSING_MS).max(0.0));
                 if self.settings.reporting != Reporting::Answers {
                     s.read_wait(now, ms - self.quickest_ms);
@@ -968,15 +970,15 @@
             return;
         }
         live.out = None;
-        if outcome == Outcome::Fault {
-            // An error may be the server's or the call's. The second one is taken as the call's: it goes
-            // nowhere else, and the first server is held to have answered.
-            if let Some(first) = live.faulted.replace(server) {
-                if let Some(s) = self.servers.get_mut(&first) {
-                    s.failures = s.failures.saturating_sub(1);
-                }
-                return self.end(id, Action::Fail(id), out);
+        // An error may be the server's or the call's. The second one is taken as the call's: it goes nowhere
+        // else, and the first server is held to have answered.
+        if outcome == Outcome::Fault
+            && let Some(first) = live.faulted.replace(server)
+        {
+            if let Some(s) = self.servers.get_mut(&first) {
+                s.failures = s.failures.saturating_sub(1);
             }
+            return self.end(id, Action::Fail(id), out);
         }
         if matches!(outcome, Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled) {
             live.not_before = now + self.settings.guard_ms.max(0.0);
