Keep the demand of a member whose report was lost: on a bad network the grantor had the most

Cause: a member whose report is lost or late for one round had its demand cut to a quarter in that division (src/shares/grantor.rs, `close`); the grantor's own report is never lost, so what the others seemed not to ask for went to it. Now a demand falls only where nothing was heard for half a lease.

--- a/src/shares/grantor.rs
+++ b/src/shares/grantor.rs
@@ -288,7 +288,9 @@
             .copied()
             .filter(|m| self.peers[usize::from(m.0)].answered != self.round)
             .collect();
-        for peer in self.peers.iter_mut().filter(|p| p.answered != self.round) {
+        // One whose report was lost goes on asking for what it did; one that is silent for long is taken to be gone.
+        let since = now - self.lease_ms / 2.0;
+        for peer in self.peers.iter_mut().filter(|p| p.heard_at.is_none_or(|at| at < since)) {
             peer.wishes.iter_mut().for_each(|w| w.asked *= FALL);
         }
         self.divide(now);
--- a/tests/shares_sim.rs
+++ b/tests/shares_sim.rs
@@ -133,8 +133,9 @@
 }
 
 /// What a fleet of five did in a minute with two of its three keepers, on a network that loses so much, doubles and
-/// reorders: masterships, the share of the time in which one granted, and the mean share of the budget in parts.
-fn two_keepers(lease_ms: f64, loss: f64, seed: u64) -> (u64, f64, f64) {
+/// reorders: masterships, the share of the time in which one granted, the mean share of the budget in parts, and how
+/// many times the mean part the largest was.
+fn two_keepers(lease_ms: f64, loss: f64, seed: u64) -> [f64; 4] {
     let mut settings = settings(5, 2 * seed);
     (settings.shares.lease_ms, settings.shares.round_ms) = (lease_ms, lease_ms / 4.0);
     settings.shares.budgets.truncate(1);
@@ -148,31 +149,38 @@
     fleet.crash(2);
     let from = 10.0 * lease_ms;
     fleet.run(from);
-    let (before, mut granted, mut held) = (fleet.seen.masterships, 0.0, 0.0);
+    let (before, mut granted, mut parts) = (fleet.seen.masterships, 0.0, [0.0f64; 5]);
     for look in 1..=6000 {
         fleet.run(from + 10.0 * f64::from(look));
         granted += fleet.grantors().len() as f64 / 6000.0;
-        held += fleet.held(BudgetId(0), None) / whole / 6000.0;
+        for (node, part) in parts.iter_mut().enumerate() {
+            *part += fleet.held(BudgetId(0), Some(node)) / whole / 6000.0;
+        }
     }
     assert_eq!(fleet.seen.breach, None);
-    (fleet.seen.masterships - before, granted, held)
+    let (held, largest) = (parts.iter().sum::<f64>(), parts.iter().copied().fold(0.0, f64::max));
+    [(fleet.seen.masterships - before) as f64, granted, held, 4.0 * largest / held]
 }
 
 #[test]
 fn a_mastership_stands_with_two_of_three_keepers_on_a_bad_network() {
     // Found to fail before: with each keeper asked once in a bid 91, 66 and 17 masterships a minute, and 0.22, 0.01
-    // and 0.07 of the budget in parts.
-    for (lease_ms, loss, parts) in [(600.0, 0.15, 0.9), (600.0, 0.3, 0.8), (3000.0, 0.3, 0.8)] {
-        let runs: Vec<_> = (0..4).map(|seed| two_keepers(lease_ms, loss, seed)).collect();
-        let masterships = runs.iter().map(|r| r.0).sum::<u64>() as f64 / 4.0;
-        let mean = |of: fn(&(u64, f64, f64)) -> f64| runs.iter().map(of).sum::<f64>() / 4.0;
-        let (granted, held) = (mean(|r| r.1), mean(|r| r.2));
+    // and 0.07 of the budget in parts. Where a lost report made a demand fall, the grantor, which hears itself, had
+    // 1.22, 1.51 and 1.30 times the mean.
+    for (lease_ms, loss, least, most) in
+        [(600.0, 0.15, 0.9, 1.15), (600.0, 0.3, 0.8, 1.45), (3000.0, 0.3, 0.8, 1.3)]
+    {
+        let mut mean = [0.0f64; 4];
+        for seed in 0..4 {
+            mean.iter_mut().zip(two_keepers(lease_ms, loss, seed)).for_each(|(sum, of)| *sum += of / 4.0);
+        }
+        let [masterships, granted, held, largest] = mean;
         let seen = format!(
             "lease {lease_ms} ms, {loss} lost: {masterships} masterships a minute, {granted:.4} of the time granted, \
-             {held:.3} in parts"
+             {held:.3} in parts, the largest {largest:.2} times the mean"
         );
         println!("{seen}");
-        assert!(masterships <= 3.0 && granted >= 0.995 && held >= parts, "{seen}");
+        assert!(masterships <= 3.0 && granted >= 0.995 && held >= least && largest <= most, "{seen}");
     }
 }
 
