--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -8,6 +8,7 @@
 
 mod bookings;
 mod demand;
+mod live;
 mod rounds;
 pub mod settings;
 #[cfg(test)]
@@ -19,9 +20,10 @@
 
 use crate::reservations;
 use crate::shares::{Input, Message, Output, ShareSettings, Shares};
-use crate::terms::{Budget, Demand, Epoch, Member, Part};
+use crate::terms::{Budget, BudgetId, Demand, Epoch, Member, Part};
 use bookings::{Bookings, Outcome};
 use demand::Demands;
+use live::Live;
 use rounds::Rounds;
 use serde::{Deserialize, Serialize};
 use wire::{Dropped, Envelope};
@@ -51,6 +53,12 @@
     Datagram { from: Member, bytes: Vec<u8> },
     /// This instance's own demand over the last round.
     Demand(Vec<Demand>),
+    /// How much of each site's call servers takes set-ups, 0 to 1, as this instance sees it.
+    Sites(Vec<(String, f64)>),
+    /// Somebody here asks for, confirms or gives up a booking; [`Effect::Answered`] comes under `ticket`.
+    Wish { ticket: u64, wish: Box<reservations::Wish> },
+    /// The operator's file was read again: what may be booked from now on.
+    Reread(Box<reservations::Settings>),
     /// The process is to stop: what it holds goes back.
     Leave,
     /// [`Control::next_due`] has come.
@@ -66,6 +74,8 @@
     },
     /// The budgets in force from now on, all of them.
     Budgets(Vec<Budget>),
+    /// The sites whose traffic and state are told from now on, with the numbers under which it is.
+    Sites(Vec<(BudgetId, String)>),
     /// To be added to the bookings' file, or to be put in its place whole.
     Append(Vec<u8>),
     Replace(Vec<u8>),
@@ -73,6 +83,11 @@
     Parts(Vec<Part>),
     /// This instance grants from now on, under this epoch, or no longer.
     Mastership(Option<Epoch>),
+    /// What was asked for under this ticket came to this.
+    Answered {
+        ticket: u64,
+        answer: reservations::Answer,
+    },
     /// For the log.
     Note(String),
 }
@@ -97,6 +112,7 @@
     demands: Demands,
     rounds: Rounds,
     bookings: Option<Bookings>,
+    live: Live,
     outcomes: Vec<Outcome>,
     envelope: Envelope,
     outputs: Vec<Output>,
@@ -111,13 +127,16 @@
     /// # Errors
     /// The settings do not fit the fleet.
     pub fn new(settings: &ControlSettings, place: &Place, now: f64) -> Result<Self, String> {
-        let shares = share_settings(settings, place.members);
+        let mut shares = share_settings(settings, place.members);
         shares.check()?;
         let demands = Demands::new(&shares.budgets, place.members, settings.round_ms);
         let whole = (shares.keepers.clone(), place.members);
         let bookings = settings.reservations.clone().map(|reservations| {
             Bookings::new(reservations, place.me, whole, shares.budgets.clone(), settings.lease_ms)
         });
+        let sites = settings.reservations.as_ref().map(|r| r.sites.as_slice()).unwrap_or_default();
+        let live = Live::new(sites, settings.round_ms);
+        shares.budgets.extend(live.budgets());
         let gather = settings.gather.clone().unwrap_or_default();
         let rounds = Rounds::new(gather.rounds.unwrap_or_else(crate::gather::Settings::rounds), place.seed);
         let key = settings.key.as_ref().map(|key| key.0.as_slice());
@@ -126,6 +145,7 @@
             demands,
             rounds,
             bookings,
+            live,
             outcomes: Vec::new(),
             envelope: Envelope::new(place.me, place.incarnation, key, settings.lease_ms),
             outputs: Vec::new(),
@@ -146,6 +166,18 @@
         ControlFigures { master, dropped, rounds: self.rounds.figures(), ..self.figures }
     }
 
+    /// The sites whose traffic and state are to be told, with the numbers under which it is.
+    #[must_use]
+    pub fn sites(&self) -> Vec<(BudgetId, String)> {
+        self.live.sites()
+    }
+
+    /// All bookings as known here; none where nothing may be booked.
+    #[must_use]
+    pub fn listing(&self) -> Option<reservations::Listing> {
+        self.bookings.as_ref().map(Bookings::listing)
+    }
+
     /// What the bookings' file held at the start.
     ///
     /// # Errors
@@ -172,6 +204,25 @@
                 }
             }
             Event::Demand(demand) => Input::Demand(self.demands.told(demand)),
+            Event::Wish { ticket, wish } => {
+                booked = Some(reservations::Input::Ask { ticket, wish: *wish });
+                Input::Tick
+            }
+            Event::Sites(open) => {
+                for input in self.live.seen(&open) {
+                    self.book(now, unix_ms, input, out);
+                }
+                Input::Tick
+            }
+            Event::Reread(settings) => {
+                out.push(Effect::Note("reservations read again".to_owned()));
+                self.live.reread(&settings.sites);
+                out.push(Effect::Sites(self.live.sites()));
+                booked = Some(reservations::Input::Reread(settings));
+                // The rounds are to add up what is asked of new sites from now on.
+                let in_force = self.bookings.as_ref().map(Bookings::in_force).unwrap_or_default();
+                Input::Budgets(in_force.into_iter().chain(self.live.budgets()).collect())
+            }
             Event::Leave => Input::Leave,
             Event::Tick => Input::Tick,
         };
@@ -210,12 +261,14 @@
                 Outcome::Send { to, message } => self.send(to, &Body::Reservations(message), out),
                 Outcome::Budgets(budgets) => {
                     out.push(Effect::Budgets(budgets.clone()));
+                    let budgets = budgets.into_iter().chain(self.live.budgets()).collect();
                     let mut outputs = Vec::new();
                     self.shares.step(now, Input::Budgets(budgets), &mut outputs);
                     outputs.into_iter().for_each(|output| self.act((now, unix_ms), output, out));
                 }
                 Outcome::Append(bytes) => out.push(Effect::Append(bytes)),
                 Outcome::Replace(bytes) => out.push(Effect::Replace(bytes)),
+                Outcome::Answered { ticket, answer } => out.push(Effect::Answered { ticket, answer }),
                 Outcome::Note(text) => out.push(Effect::Note(text)),
             }
         }
@@ -228,6 +281,7 @@
             Output::Parts(parts) => out.push(Effect::Parts(parts)),
             Output::Mastership(epoch) => {
                 out.push(Effect::Mastership(epoch));
+                self.live.mastership();
                 self.book(now, unix_ms, reservations::Input::Mastership(epoch), out);
             }
             Output::Note(text) => out.push(Effect::Note(text)),
@@ -236,10 +290,13 @@
                 self.shares.set_round_deadline(deadline);
                 self.opened_at = at;
             }
-            Output::RoundClosed { epoch, round, arrivals, .. } => {
+            Output::RoundClosed { epoch, round, at, arrivals, demand, .. } => {
                 for (member, after_ms) in arrivals {
                     self.rounds.heard(self.opened_at + after_ms, epoch.0, round, member);
                 }
+                for input in self.live.heard(at, &demand) {
+                    self.book(now, unix_ms, input, out);
+                }
             }
             Output::RoundLate { epoch, round, member, .. } => {
                 self.rounds.heard(now, epoch.0, round, member);
--- a/src/control/settings.rs
+++ b/src/control/settings.rs
@@ -138,6 +138,30 @@
         Self::parse(&text).map_err(|e| format!("{}: {e}", path.display()))
     }
 
+    /// What of a file that was read again is acted on without a restart: its reservations, if there are any.
+    ///
+    /// # Errors
+    /// It says what else has changed: nothing of it is acted on then.
+    pub fn reread(&self, new: &Self) -> Result<Option<crate::reservations::Settings>, String> {
+        let changed = [
+            ("keepers", self.keepers != new.keepers),
+            ("lease_ms", self.lease_ms != new.lease_ms),
+            ("round_ms", self.round_ms != new.round_ms),
+            ("drift", self.drift != new.drift),
+            ("key", self.key != new.key),
+            ("gather", self.gather != new.gather),
+            ("budgets", self.budgets != new.budgets),
+            ("reservations", self.reservations.is_some() != new.reservations.is_some()),
+        ];
+        let folder = |s: &Self| s.reservations.as_ref().and_then(|r| r.folder.clone());
+        let moved = ("reservations.folder", folder(self) != folder(new));
+        let names: Vec<&str> = changed.iter().chain([&moved]).filter(|(_, c)| *c).map(|(n, _)| *n).collect();
+        if !names.is_empty() {
+            return Err(format!("{}: a change needs a restart", names.join(", ")));
+        }
+        Ok(new.reservations.clone())
+    }
+
     /// The budgets in the decision modules' terms, numbered in the file's order.
     #[must_use]
     pub fn budgets(&self) -> Vec<Budget> {
@@ -188,7 +212,7 @@
         if let Some(reservations) = &self.reservations {
             reservations.check().map_err(|why| format!("reservations: {why}"))?;
         }
-        if self.budgets.is_empty() || self.budgets.len() >= usize::from(BudgetId::BOOKED) {
+        if self.budgets.is_empty() || self.budgets.len() >= usize::from(BudgetId::LIVE) {
             return Err("budgets: at least one is wanted".to_owned());
         }
         for (i, b) in self.budgets.iter().enumerate() {
@@ -236,6 +260,31 @@
         assert!(settings.budgets().iter().any(|b| b.spending == Spending::SetUps && b.per_s > 0.0));
     }
 
+    #[test]
+    fn reservations_alone_may_change_without_a_restart() {
+        let file = |more: &str| {
+            let text = format!("budgets: [{{name: a, spend: set_ups, per_s: 10}}]\n{more}");
+            ControlSettings::parse(&text).unwrap()
+        };
+        let booked = |share: f64, more: &str| {
+            let sites = format!("sites: [{{name: aarhus, per_s: 9, share: {share}}}]");
+            let teams = "teams: [{name: b, per_s: 9, week_set_ups: 9000}]";
+            file(&format!("reservations: {{{sites}, {teams}{more}}}\n"))
+        };
+        let old = booked(0.5, "");
+        assert_eq!(old.reread(&booked(0.6, "")), Ok(booked(0.6, "").reservations));
+        assert_eq!(file("").reread(&file("")), Ok(None));
+        for (new, named) in [
+            (file(""), "reservations"),
+            (booked(0.5, ", folder: /tmp/x"), "reservations.folder"),
+            (ControlSettings { keepers: vec![1, 2, 3], ..old.clone() }, "keepers"),
+            (ControlSettings { lease_ms: 4000.0, drift: 0.01, ..old.clone() }, "lease_ms, drift"),
+            (ControlSettings { budgets: Vec::new(), ..old.clone() }, "budgets"),
+        ] {
+            assert_eq!(old.reread(&new), Err(format!("{named}: a change needs a restart")));
+        }
+    }
+
     #[test]
     fn what_does_not_fit_is_refused() {
         let one = "budgets: [{name: a, spend: set_ups, per_s: 10}]\n";
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -15,6 +15,7 @@
 mod probes;
 mod recovery;
 mod shares;
+mod sites;
 #[cfg(test)]
 mod tests;
 mod timers;
@@ -263,6 +264,7 @@
                 self.look(out);
                 self.look_at_callers(out);
                 self.look_at_sites(out);
+                self.tell_sites();
                 self.timers.set(self.now + LOOK_MS, Due::Look);
             }
             Due::Sites => self.sites_turned(),
@@ -282,6 +284,7 @@
         self.may_probe = settings.may_probe;
         (self.siblings, self.stay_away_max_ms) = (settings.siblings, settings.stay_away_max_ms);
         self.worths = worths(&settings);
+        self.tell_worths();
         self.news.push_back(module::Event::Settings(settings));
     }
 
--- a/src/engine/shares.rs
+++ b/src/engine/shares.rs
@@ -80,6 +80,8 @@
     /// The dearest that was to be paid of late, and when, by the budgets' order.
     dearest: Vec<(f64, f64)>,
     pressed: u64,
+    /// Worth of the dearest class, where classes differ in it.
+    dear_from: f64,
     /// The driver's monotonic clock, ms.
     now: f64,
     /// When a call server that may not be dialled is asked about again.
@@ -98,6 +100,7 @@
             dearest: vec![(0.0, f64::NEG_INFINITY); budgets.len()],
             budgets,
             pressed: 0,
+            dear_from: f64::INFINITY,
             now,
             dial_again: HashMap::new(),
             rng: fastrand::Rng::with_seed(seed ^ 0x5a17),
@@ -134,6 +137,9 @@
                 }
             }
         }
+        if let (Spending::SetUps, Some(site)) = (&payment.spending, payment.site) {
+            self.exchange.sites().asked(site, payment.worth >= self.dear_from);
+        }
         let ordinary = |b: &Budget| b.id.0 < BudgetId::BOOKED && payment.falls_under(b);
         let mut pays = true;
         for (budget, dearest) in budgets.iter().zip(&mut self.dearest) {
@@ -156,6 +162,10 @@
         pays
     }
 
+    pub(super) fn exchange(&self) -> &Exchange {
+        &self.exchange
+    }
+
     fn any(&self, spending: &Spending) -> bool {
         self.budgets.iter().any(|b| b.spending == *spending)
     }
@@ -194,9 +204,19 @@
     #[must_use]
     pub fn with_shares(mut self, exchange: Arc<Exchange>, members: u16, seed: u64, now: f64) -> Self {
         self.shares = Some(Parts::new(exchange, members, seed, now));
+        self.tell_worths();
         self
     }
 
+    /// Calls of the dearest class are dear, where there are cheaper ones.
+    pub(super) fn tell_worths(&mut self) {
+        if let Some(shares) = self.shares.as_mut() {
+            let most = self.worths.iter().copied().fold(0.0, f64::max);
+            let differ = self.worths.iter().any(|&worth| worth < most);
+            shares.dear_from = if differ { most } else { f64::INFINITY };
+        }
+    }
+
     /// The driver's monotonic time, ms, told before each step: parts lapse by it, whatever the Unix clock does.
     pub fn monotonic(&mut self, now: f64) {
         if let Some(shares) = self.shares.as_mut() {
--- a/src/lab/caller.rs
+++ b/src/lab/caller.rs
@@ -7,6 +7,7 @@
 use std::collections::{HashMap, HashSet};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::ops::RangeInclusive;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -69,7 +70,9 @@
     pub await_ends: bool,
     /// First choices: places of call servers, of which each set-up's is drawn.
     pub places: Vec<u32>,
-    /// Draws classes and first choices.
+    /// Numbers called, of which each set-up's is drawn; on the wire they are 16 hexadecimal digits.
+    pub numbers: RangeInclusive<u64>,
+    /// Draws classes, first choices and numbers.
     pub seed: u64,
 }
 
@@ -111,6 +114,8 @@
 /// The ledger of one caller.
 #[derive(Default)]
 struct Ledger {
+    /// Its calls are numbered from here, none of them 2^32 beyond.
+    base: u64,
     open: HashMap<u64, Open>,
     /// Calls cut with a crashed instance: what is heard of them later counts for nothing.
     cut: HashSet<u64>,
@@ -146,7 +151,9 @@
 
     /// Takes one message: its type, call, cause and advice to stay away.
     fn hear(&mut self, (kind, call, cause, stay_away): Heard) {
-        if kind == TEST_ANSWER || self.cut.contains(&call) {
+        // The end of another caller's call is passed on where that caller's connection is gone.
+        let anothers = call >> 32 != self.base >> 32;
+        if kind == TEST_ANSWER || anothers || self.cut.contains(&call) {
             return;
         }
         let found = self.open.get_mut(&call);
@@ -324,6 +331,7 @@
 ) -> Vec<Vec<Tally>> {
     let classes = profile.classes.len();
     let ledger = Arc::new(Mutex::new(Ledger {
+        base,
         classes,
         repeats: profile.repeats,
         await_ends: profile.await_ends,
@@ -368,7 +376,7 @@
                     draw < 0.0
                 });
                 let place = profile.places.get(rng.usize(0..profile.places.len().max(1)));
-                let number = rng.u64(..);
+                let number = rng.u64(profile.numbers.clone());
                 let (class, place) = (class.unwrap_or(0), place.copied().unwrap_or(0));
                 let first = Instant::now();
                 wanted.push(Offer { number, class, place, repeat: 0, first, first_second: at_second });
--- a/src/lab/mod.rs
+++ b/src/lab/mod.rs
@@ -273,6 +273,7 @@
         repeats: scenario.repeats,
         await_ends: scenario.servers.iter().any(|s| s.hold_ms > 0),
         places: (0..scenario.servers.len() as u32).collect(),
+        numbers: 0..=u64::MAX,
         seed: scenario.seed,
     };
     let offer = |(i, door): (usize, &Arc<Door>)| {
--- a/src/main.rs
+++ b/src/main.rs
@@ -292,7 +292,8 @@
             let audit = serve.audit.or_else(|| std::env::var_os("GW_AUDIT").map(PathBuf::from));
             let audit = audit.as_deref().map(AuditSettings::read).transpose()?;
             let fleet = serve.fleet.or_else(|| std::env::var_os("GW_FLEET").map(PathBuf::from));
-            let control = fleet.as_deref().map(ControlSettings::read).transpose()?;
+            let read = |path: &PathBuf| ControlSettings::read(path).map(|settings| (settings, path.clone()));
+            let control = fleet.as_ref().map(read).transpose()?;
             let [fronts, limits, sites, fleet] =
                 [&fronts, &limits, &sites, &fleet].map(|path| path.as_deref());
             let version = version::Version::new(config.digests.clone(), fronts, limits, sites, fleet)?;
--- a/src/net/control.rs
+++ b/src/net/control.rs
@@ -2,11 +2,14 @@
 //! peers' socket's control datagrams through a bounded queue, and publishes what was decided for the traffic side.
 //! The traffic side never waits for it: a thread that is dead, stuck or slow only lets its parts lapse.
 
+use super::bookings::{self, Desk, Question};
 use super::peers::Sender;
 use crate::control::{Control, ControlFigures, ControlSettings, Effect, Event, Place, floor_of};
 use crate::engine::Engine;
+use crate::reservations::{Answer, Reason};
 use crate::shares::Exchange;
 use crate::terms::{Budget, Member, Part};
+use std::collections::HashMap;
 use std::fs::OpenOptions;
 use std::io::{ErrorKind, Write as _};
 use std::path::{Path, PathBuf};
@@ -14,12 +17,15 @@
 use std::sync::mpsc::{Receiver, RecvTimeoutError, SyncSender, sync_channel};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tokio::sync::oneshot;
 
 /// A control datagram as it came, with its sender's place.
 pub type Datagram = (u16, Vec<u8>);
 
 /// Datagrams that may wait for the thread; more are dropped, as the network might.
 const QUEUE: usize = 512;
+/// Requests for bookings that may wait for their answers; one more is turned away at once.
+const ASKED_MOST: usize = 64;
 /// The file of the bookings in the settings' folder.
 const BOOKINGS: &str = "bookings.log";
 /// The thread looks so often whether the process is to stop.
@@ -69,6 +75,7 @@
     clock: Monotonic,
     exchange: Arc<Exchange>,
     queue: (SyncSender<Datagram>, Receiver<Datagram>),
+    desk: (Desk, Receiver<Question>),
 }
 
 /// The running control plane, from the traffic side.
@@ -76,9 +83,16 @@
     clock: Monotonic,
     leaving: Arc<AtomicBool>,
     figures: Arc<Mutex<ControlFigures>>,
+    desk: Option<Desk>,
 }
 
 impl Handle {
+    /// Where bookings are asked for, if the operator's file has reservations.
+    #[must_use]
+    pub fn desk(&self) -> Option<Desk> {
+        self.desk.clone()
+    }
+
     /// The process stops: what it holds goes back at once. Does not wait.
     pub fn leave(&self) {
         self.leaving.store(true, Ordering::Relaxed);
@@ -107,7 +121,8 @@
         // Checks what the division asks of its settings.
         Control::new(&settings, &place, clock.now())?;
         let exchange = Arc::new(Exchange::new(&settings.budgets()));
-        Ok(Ready { settings, place, clock, exchange, queue: sync_channel(QUEUE) })
+        let (queue, desk) = (sync_channel(QUEUE), bookings::desk());
+        Ok(Ready { settings, place, clock, exchange, queue, desk })
     }
 
     /// Lets the traffic side spend what will be decided.
@@ -129,7 +144,8 @@
     pub fn start(self, sender: Sender) -> Result<Handle, String> {
         let (leaving, figures) = (Arc::new(AtomicBool::new(false)), Arc::default());
         let clock = self.clock;
-        let handle = Handle { clock, leaving: Arc::clone(&leaving), figures: Arc::clone(&figures) };
+        let desk = self.settings.reservations.as_ref().map(|_| self.desk.0.clone());
+        let handle = Handle { clock, leaving: Arc::clone(&leaving), figures: Arc::clone(&figures), desk };
         let thread = Thread::new(self, sender, leaving, figures)?;
         let builder = std::thread::Builder::new().name("control".to_owned());
         builder.spawn(move || thread.run()).map_err(|e| format!("control thread: {e}"))?;
@@ -165,6 +181,10 @@
     exchange: Arc<Exchange>,
     sender: Sender,
     heard: Receiver<Datagram>,
+    questions: Receiver<Question>,
+    /// Who waits for the answer to a ticket, and the next one.
+    asked: HashMap<u64, oneshot::Sender<Answer>>,
+    ticket: u64,
     leaving: Arc<AtomicBool>,
     left: bool,
     figures: Arc<Mutex<ControlFigures>>,
@@ -181,7 +201,7 @@
         leaving: Arc<AtomicBool>,
         figures: Arc<Mutex<ControlFigures>>,
     ) -> Result<Self, String> {
-        let Ready { settings, place, clock, exchange, queue } = ready;
+        let Ready { settings, place, clock, exchange, queue, desk } = ready;
         let folder = settings.reservations.as_ref().and_then(|r| r.folder.as_deref());
         let file = folder.map(|folder| folder.join(BOOKINGS));
         let now = clock.now();
@@ -191,6 +211,7 @@
             log::info!(target: "control", budget = budget.name.as_str(), per_s, burst; "floor");
         }
         let mut control = Control::new(&settings, &place, now)?;
+        exchange.sites().set(&control.sites());
         if let Some(file) = &file {
             let told = |e: &dyn std::fmt::Display| format!("{}: {e}", file.display());
             match std::fs::read(file) {
@@ -208,6 +229,9 @@
             exchange,
             sender,
             heard: queue.1,
+            questions: desk.1,
+            asked: HashMap::new(),
+            ticket: 0,
             leaving,
             left: false,
             figures,
@@ -231,6 +255,9 @@
                 self.left = true;
                 self.step(Event::Leave);
             }
+            while let Ok(question) = self.questions.try_recv() {
+                self.hear(question);
+            }
             self.read_demand();
             if self.clock.now() >= self.control.next_due() {
                 self.step(Event::Tick);
@@ -238,13 +265,34 @@
         }
     }
 
+    /// Nobody waits for an answer any more if the operator has hung up: what is sent then is lost.
+    fn hear(&mut self, question: Question) {
+        match question {
+            Question::Wish(wish, reply) if self.asked.len() < ASKED_MOST => {
+                self.ticket += 1;
+                self.asked.insert(self.ticket, reply);
+                self.step(Event::Wish { ticket: self.ticket, wish });
+            }
+            Question::Wish(_, reply) => {
+                let text = "too many requests wait for their answers: ask again".to_owned();
+                let _ = reply.send(Answer::Refused { reason: Reason::NoGrantor, text, nearest: Vec::new() });
+            }
+            Question::List(reply) => {
+                let _ = reply.send(bookings::listed(self.control.listing().as_ref()));
+            }
+            Question::Reread(settings) => self.step(Event::Reread(settings)),
+        }
+    }
+
     fn read_demand(&mut self) {
         let now = self.clock.now();
         let elapsed = now - self.demand_read;
         if elapsed >= self.round_ms {
             self.demand_read = now;
-            let (demand, _) = self.exchange.demands(elapsed);
+            let (mut demand, _) = self.exchange.demands(elapsed);
+            demand.extend(self.exchange.sites().demands(elapsed));
             self.step(Event::Demand(demand));
+            self.step(Event::Sites(self.exchange.sites().open()));
             *self.figures.lock().unwrap_or_else(PoisonError::into_inner) = self.control.figures();
         }
     }
@@ -264,6 +312,7 @@
                     self.exchange.set_budgets(&budgets);
                     self.budgets = budgets;
                 }
+                Effect::Sites(sites) => self.exchange.sites().set(&sites),
                 Effect::Append(bytes) => self.keep(|file| append(file, &bytes)),
                 Effect::Replace(bytes) => self.keep(|file| replace(file, &bytes)),
                 Effect::Parts(parts) => {
@@ -274,6 +323,9 @@
                     let grants = epoch.is_some();
                     log::info!(target: "control", grants, epoch = epoch.map_or(0, |e| e.0); "mastership");
                 }
+                Effect::Answered { ticket, answer } => {
+                    let _ = self.asked.remove(&ticket).map(|reply| reply.send(answer));
+                }
                 Effect::Note(text) => log::info!(target: "control", "{text}"),
             }
         }
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -21,6 +21,7 @@
 use crate::version::{Status, Version};
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::signal::unix::{SignalKind, signal};
@@ -46,8 +47,8 @@
     pub limits: Option<LimitSettings>,
     /// The plan for the loss of a site.
     pub sites: Option<SiteSettings>,
-    /// The fleet's control plane.
-    pub control: Option<ControlSettings>,
+    /// The fleet's control plane, and the file that it was read from.
+    pub control: Option<(ControlSettings, PathBuf)>,
     /// The audit record.
     pub audit: Option<AuditSettings>,
     /// What the process acts on.
@@ -83,7 +84,8 @@
         }
         None => None,
     };
-    let fleet = control_plane(&config, decisions.control.take())?;
+    let fleet_file = decisions.control.take();
+    let fleet = control_plane(&config, fleet_file.as_ref().map(|(settings, _)| settings.clone()))?;
     let mut driver = Driver::new(&config, sender.clone(), names, fronts, decisions, fleet.as_ref())?;
     if let Some(peering) = &config.peering {
         let at = peering.listen;
@@ -93,6 +95,7 @@
         let sending = peers.sender();
         let hearing = tokio::task::spawn_local(peers.listen(sender.clone())).abort_handle();
         driver.control = fleet.map(|fleet| fleet.start(sending.clone())).transpose()?;
+        driver.fleet_file = fleet_file.filter(|_| driver.control.is_some());
         driver.peers = Some((sending, hearing));
     }
     tokio::task::spawn_local(beat(driver.clock.clone()));
@@ -103,7 +106,8 @@
     if let Some(at) = config.management {
         let listener = bound(at)?;
         log::info!("operators on {}", listener.local_addr().map_err(|e| format!("listening: {e}"))?);
-        tokio::task::spawn_local(operators::listen(listener, asks.clone()));
+        let desk = driver.control.as_ref().and_then(control::Handle::desk);
+        tokio::task::spawn_local(operators::listen(listener, asks.clone(), desk));
     }
     log::info!("listening on {listening}");
     let mut listener = Some(listener);
@@ -209,6 +213,8 @@
     peers: Option<(peers::Sender, AbortHandle)>,
     /// The control plane's thread, where the operator's file turns it on.
     control: Option<control::Handle>,
+    /// What it was started on, and from which file.
+    fleet_file: Option<(ControlSettings, PathBuf)>,
 }
 
 /// What a caller's connection speaks.
@@ -277,21 +283,16 @@
             fronts,
             peers: None,
             control: None,
+            fleet_file: None,
         })
     }
 
-    /// Reads the configuration again, whole or not at all.
+    /// Reads the configuration and the control plane's file again: both whole, or nothing changes.
     fn reload(&mut self, started: &Config, source: &Source) {
-        match source.read() {
-            Ok(new) => {
-                let classes = |c: &Config| c.host.classes.iter().map(|c| c.name.clone()).collect::<Vec<_>>();
-                if classes(&new) != classes(started) {
-                    let why = "other classes need a restart".to_owned();
-                    log::error!("the configuration stays as it was: {why}");
-                    self.reload_failed = Some(why);
-                    return;
-                }
+        match self.read_again(started, source) {
+            Ok((new, fleet)) => {
                 (self.version.config, self.version.settings) = new.digests.clone();
+                self.version.fleet = fleet.unwrap_or(std::mem::take(&mut self.version.fleet));
                 self.reload_failed = None;
                 logger::act_on(&self.version);
                 self.tell_version();
@@ -304,6 +305,25 @@
         }
     }
 
+    /// The configuration, and the digest of the control plane's file if it was taken up.
+    fn read_again(&self, started: &Config, source: &Source) -> Result<(Config, Option<String>), String> {
+        let new = source.read()?;
+        let classes = |c: &Config| c.host.classes.iter().map(|c| c.name.clone()).collect::<Vec<_>>();
+        if classes(&new) != classes(started) {
+            return Err("other classes need a restart".to_owned());
+        }
+        let Some((started, path)) = &self.fleet_file else { return Ok((new, None)) };
+        let told = |e: String| format!("{}: {e}", path.display());
+        let reservations = started.reread(&ControlSettings::read(path)?).map_err(told)?;
+        let digest = crate::version::digest_of(Some(path))?;
+        if let Some((settings, desk)) =
+            reservations.zip(self.control.as_ref().and_then(control::Handle::desk))
+        {
+            desk.reread(settings).map_err(told)?;
+        }
+        Ok((new, Some(digest)))
+    }
+
     /// The audit log hears what the decisions from here on are taken on.
     fn tell_version(&mut self) {
         let now = self.clock.now() as u64;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,5 +1,6 @@
 //! Sockets: the codecs and connections of callers, call servers, operators, peers and the name service, and what drives them.
 
+pub mod bookings;
 pub mod callers;
 pub mod control;
 pub mod driver;
--- a/src/net/operators.rs
+++ b/src/net/operators.rs
@@ -1,5 +1,6 @@
 //! Operators: HTTP/1.1 at an address of its own, one call a connection.
 
+use super::bookings::{self, Desk};
 use super::figures;
 use crate::engine::{OperatorAnswer, OperatorAsk};
 use bytes::Bytes;
@@ -24,7 +25,7 @@
 const CONNS_MAX: usize = 12;
 /// A call comes whole and is answered within this, or its connection is closed.
 const CALL_WITHIN: Duration = Duration::from_secs(5);
-/// A call's head and its body, which means nothing here, hold at most so much.
+/// A call's head and its body, which means something for bookings alone, hold at most so much.
 const HEAD_MAX: usize = 8 * 1024;
 const BODY_MAX: usize = 64 * 1024;
 const HEADERS_MAX: usize = 64;
@@ -36,10 +37,17 @@
 /// A question to the reducer, and where its answer goes.
 pub type Question = (OperatorAsk, oneshot::Sender<OperatorAnswer>);
 
+/// What is asked.
+enum Asked {
+    Engine(OperatorAsk),
+    /// Of bookings, by this method and body.
+    Bookings(Method, Bytes),
+}
+
 /// What is asked, or the status that turns the call down.
-type Call = Result<OperatorAsk, StatusCode>;
+type Call = Result<Asked, StatusCode>;
 
-fn asked(method: &Method, path: &str) -> Call {
+fn asked(method: &Method, path: &str) -> Result<OperatorAsk, StatusCode> {
     let (wanted, ask) = match path {
         "/control/ready" => (Method::GET, OperatorAsk::Ready),
         "/control/counters" => (Method::GET, OperatorAsk::Figures),
@@ -61,14 +69,16 @@
         return Err(StatusCode::PAYLOAD_TOO_LARGE);
     }
     match Limited::new(body, BODY_MAX).collect().await {
-        Ok(_) => asked(&head.method, head.uri.path()),
+        Ok(body) if head.uri.path() == bookings::PATH => Ok(Asked::Bookings(head.method, body.to_bytes())),
+        Ok(_) => asked(&head.method, head.uri.path()).map(Asked::Engine),
         Err(e) if e.is::<LengthLimitError>() => Err(StatusCode::PAYLOAD_TOO_LARGE),
         Err(_) => Err(StatusCode::BAD_REQUEST),
     }
 }
 
-/// Takes operators' connections for as long as the program runs. It owns the listener and all of them.
-pub async fn listen(listener: TcpListener, questions: mpsc::Sender<Question>) {
+/// Takes operators' connections for as long as the program runs. It owns the listener and all of them. `desk`: where
+/// bookings are asked for, if they can be.
+pub async fn listen(listener: TcpListener, questions: mpsc::Sender<Question>, desk: Option<Desk>) {
     let mut tasks = JoinSet::new();
     let mut open: VecDeque<AbortHandle> = VecDeque::new();
     loop {
@@ -81,7 +91,7 @@
                 {
                     oldest.abort();
                 }
-                open.push_back(tasks.spawn_local(serve(stream, questions.clone())));
+                open.push_back(tasks.spawn_local(serve(stream, questions.clone(), desk.clone())));
             }
             Err(e) => {
                 log::warn!("accepting an operator: {e}");
@@ -91,13 +101,19 @@
     }
 }
 
-async fn serve(mut stream: TcpStream, questions: mpsc::Sender<Question>) {
+async fn serve(mut stream: TcpStream, questions: mpsc::Sender<Question>, desk: Option<Desk>) {
     let service = service_fn(async |request| {
-        let (status, text) = answer(read(request).await, &questions).await;
+        let ((status, text), form) = match read(request).await {
+            Ok(Asked::Bookings(method, body)) => {
+                (bookings::answer(desk.as_ref(), &method, &body).await, "application/json")
+            }
+            Ok(Asked::Engine(ask)) => (answer(ask, &questions).await, figures::CONTENT_TYPE),
+            Err(status) => ((status, String::new()), figures::CONTENT_TYPE),
+        };
         let mut response = Response::new(Full::new(Bytes::from(text)));
         *response.status_mut() = status;
         let headers = response.headers_mut();
-        headers.insert(CONTENT_TYPE, HeaderValue::from_static(figures::CONTENT_TYPE));
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static(form));
         headers.insert(CONNECTION, HeaderValue::from_static("close"));
         Ok::<_, Infallible>(response)
     });
@@ -123,11 +139,7 @@
 }
 
 /// Status and text of the answer to a call.
-async fn answer(call: Call, questions: &mpsc::Sender<Question>) -> (StatusCode, String) {
-    let ask = match call {
-        Ok(ask) => ask,
-        Err(status) => return (status, String::new()),
-    };
+async fn answer(ask: OperatorAsk, questions: &mpsc::Sender<Question>) -> (StatusCode, String) {
     let (reply, answer) = oneshot::channel();
     if questions.send((ask, reply)).await.is_err() {
         return (StatusCode::SERVICE_UNAVAILABLE, String::new());
--- a/src/net/operators/tests.rs
+++ b/src/net/operators/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::reservations::{Answer, Listing, Promise, Reason, Wish};
 use crate::version::{Status, Version};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream as Stream};
@@ -7,6 +8,10 @@
 /// A process's operators' address on a thread of its own, and the answers of a reducer that is ready, whose reloads
 /// fail, and that has nothing to say to the rest.
 fn operators() -> SocketAddr {
+    operators_with(None)
+}
+
+fn operators_with(desk: Option<Desk>) -> SocketAddr {
     let (told, addr) = std::sync::mpsc::channel();
     std::thread::spawn(move || {
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
@@ -14,7 +19,7 @@
             let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
             told.send(listener.local_addr().unwrap()).unwrap();
             let (questions, mut asked) = mpsc::channel(16);
-            tokio::task::spawn_local(listen(listener, questions));
+            tokio::task::spawn_local(listen(listener, questions, desk));
             while let Some((ask, reply)) = asked.recv().await {
                 let answer = match ask {
                     OperatorAsk::Ready => OperatorAnswer::Ready(true),
@@ -125,3 +130,93 @@
     assert_eq!(slow.map(heard), ["", ""]);
     assert!(since.elapsed() >= CALL_WITHIN && since.elapsed() < 2 * CALL_WITHIN);
 }
+
+/// Status and JSON of the answer to a call of bookings.
+fn bookings(addr: SocketAddr, method: &str, body: &str) -> (u16, serde_json::Value) {
+    let length = body.len();
+    let call = format!("{method} {} HTTP/1.1\r\nContent-Length: {length}\r\n\r\n{body}", bookings::PATH);
+    let answer = heard(said(addr, &call));
+    let status = answer.split(' ').nth(1).unwrap_or_else(|| panic!("{answer}")).parse().unwrap();
+    let (head, text) = answer.split_once("\r\n\r\n").unwrap();
+    assert!(text.is_empty() || head.contains("Content-Type: application/json"), "{head}");
+    (status, serde_json::from_str(text).unwrap_or_default())
+}
+
+/// What a control thread would say: of team `no` it knows no booking, and has no capacity for it.
+fn decided(wish: &Wish) -> Answer {
+    let refused = |reason| Answer::Refused { reason, text: String::new(), nearest: Vec::new() };
+    match wish {
+        Wish::Book(request) if request.team == "no" => refused(Reason::Capacity),
+        Wish::Book(_) => Answer::Booked(Promise { booking: 32768, occurrences: 8, ..Promise::default() }),
+        Wish::Confirm { team, .. } | Wish::Cancel { team, .. } if team == "no" => refused(Reason::Unknown),
+        Wish::Confirm { .. } => refused(Reason::NoGrantor),
+        Wish::Cancel { .. } => Answer::Cancelled { booking: 32768 },
+    }
+}
+
+#[test]
+fn bookings_go_to_the_control_thread_and_back_with_their_status() {
+    let (desk, questions) = bookings::desk();
+    std::thread::spawn(move || {
+        for question in questions {
+            match question {
+                bookings::Question::Wish(wish, reply) => reply.send(decided(&wish)).unwrap(),
+                bookings::Question::List(reply) => {
+                    let listing = Listing { grantor: true, committed: 3, bookings: Vec::new() };
+                    reply.send(bookings::listed(Some(&listing))).unwrap();
+                }
+                bookings::Question::Reread(_) => {}
+            }
+        }
+    });
+    let addr = operators_with(Some(desk));
+    let job = |team: &str| {
+        format!(
+            r#"{{"id": "a", "team": "{team}", "class": "batch", "per_s": 20, "start": "2026-12-07T09:00",
+                "minutes": 120}}"#
+        )
+    };
+    let (status, answer) = bookings(addr, "POST", &job("bills"));
+    assert_eq!((status, &answer["booked"]["occurrences"]), (200, &8.into()));
+    let (status, answer) = bookings(addr, "POST", &job("no"));
+    assert_eq!((status, &answer["refused"]["reason"]), (409, &"capacity".into()));
+    let named = |team: &str| format!(r#"{{"team": "{team}", "id": "a"}}"#);
+    assert_eq!(bookings(addr, "DELETE", &named("bills")).1["cancelled"]["booking"], 32768);
+    assert_eq!(bookings(addr, "DELETE", &named("no")).0, 404);
+    assert_eq!(bookings(addr, "PUT", &named("bills")).0, 503);
+    assert_eq!(bookings(addr, "GET", "").1["committed"], 3);
+    assert_eq!(bookings(addr, "PATCH", "").0, 405);
+    for wrong in ["", "[]", "{}", &job("bills").replace("per_s", "rate"), &job("bills").replace("20,", "0,")]
+    {
+        let (status, answer) = bookings(addr, "POST", wrong);
+        assert_eq!((status, &answer["refused"]["reason"]), (400, &"malformed".into()), "{wrong}");
+    }
+    assert_eq!(bookings(addr, "POST", &"x".repeat(BODY_MAX + 1)).0, 413);
+}
+
+#[test]
+fn without_reservations_nothing_is_booked_and_the_answer_says_why() {
+    let (status, answer) = bookings(operators(), "GET", "");
+    assert_eq!(status, 404);
+    assert!(answer["why"].as_str().unwrap().contains("--fleet"));
+}
+
+#[test]
+fn a_control_thread_that_is_stuck_or_dead_is_not_waited_for_beyond_the_calls_time() {
+    let (desk, questions) = bookings::desk();
+    let addr = operators_with(Some(desk));
+    let since = Instant::now();
+    // The address goes on answering others meanwhile.
+    let waiting: Vec<_> = (0..6).map(|_| std::thread::spawn(move || bookings(addr, "GET", ""))).collect();
+    assert_eq!(status(addr, "GET /control/ready HTTP/1.1\r\n\r\n"), 200);
+    assert!(since.elapsed() < CALL_WITHIN / 2);
+    for answer in waiting {
+        let (status, answer) = answer.join().unwrap();
+        assert_eq!((status, &answer["refused"]["reason"]), (503, &"no_grantor".into()));
+    }
+    // An answer at all came within the call's time: later its connection is closed without one.
+    drop(questions);
+    let since = Instant::now();
+    assert_eq!(bookings(addr, "GET", "").0, 503);
+    assert!(since.elapsed() < CALL_WITHIN / 2, "a dead one is known at once");
+}
--- a/src/reservations/book.rs
+++ b/src/reservations/book.rs
@@ -50,8 +50,10 @@
     Cancel { slot: u16, at: Minute },
     /// Time has passed this minute and does not come again; what was over before `forget` is forgotten.
     Passed { at: Minute, forget: Minute },
-    /// Live traffic of a site reached this, set-ups a second, in this hour of the week.
-    Peak { site: String, hour: u8, per_s: f64 },
+    /// Live traffic of a site reached this, set-ups a second, in this hour since 1970.
+    Peak { site: String, hour: u32, per_s: f64 },
+    /// In its window that began then a booking keeps this step of the settings' for jobs that do not come.
+    Keeps { slot: u16, start: Minute, step: u8 },
 }
 
 /// A booking as it is placed.
@@ -89,6 +91,8 @@
     pub cancelled: bool,
     /// End of its last window, also of one given up.
     pub last_end: Minute,
+    /// The window that began then keeps this step; it has all of what was booked if there is none.
+    pub keeps: Option<(Minute, u8)>,
 }
 
 impl Booking {
@@ -112,8 +116,8 @@
     pub bookings: BTreeMap<u16, Booking>,
     /// Time has passed this minute.
     pub passed: Minute,
-    /// Peaks of live traffic by site and hour of the week, the last weeks', set-ups a second.
-    pub peaks: BTreeMap<String, Vec<VecDeque<f32>>>,
+    /// Peaks of live traffic by site and hour of the week, the last weeks': the hour since 1970, set-ups a second.
+    pub peaks: BTreeMap<String, Vec<VecDeque<(u32, f32)>>>,
 }
 
 /// The state with what is derived from it.
@@ -198,11 +202,18 @@
     #[must_use]
     pub fn live(&self, site: &str, hour: usize) -> f64 {
         let Some(hours) = self.kept.peaks.get(site) else { return 0.0 };
-        let worst = |peaks: &VecDeque<f32>| peaks.iter().copied().reduce(f32::max);
+        let worst = |peaks: &VecDeque<(u32, f32)>| peaks.iter().map(|(_, per_s)| *per_s).reduce(f32::max);
         let own = hours.get(hour).and_then(worst);
         f64::from(own.or_else(|| hours.iter().filter_map(worst).reduce(f32::max)).unwrap_or(0.0))
     }
 
+    /// The peak written down for this very hour since 1970, set-ups a second.
+    #[must_use]
+    pub fn peak_in(&self, site: &str, hour: u32) -> Option<f64> {
+        let peaks = self.kept.peaks.get(site)?.get(hour as usize % HOURS)?;
+        peaks.back().filter(|(at, _)| *at == hour).map(|(_, per_s)| f64::from(*per_s))
+    }
+
     fn index(&mut self, request: &Request, span: Span, sign: i64) {
         let rate = sign * milli(request.per_s);
         self.whole.add(span, rate);
@@ -234,11 +245,18 @@
             Op::Peak { site, hour, per_s } => {
                 let hours =
                     self.kept.peaks.entry(site.clone()).or_insert_with(|| vec![VecDeque::new(); HOURS]);
-                if let Some(peaks) = hours.get_mut(usize::from(*hour)) {
-                    peaks.push_back(*per_s as f32);
-                    if peaks.len() > WEEKS {
-                        peaks.pop_front();
-                    }
+                let Some(peaks) = hours.get_mut(*hour as usize % HOURS) else { return };
+                match peaks.back_mut().filter(|(at, _)| at == hour) {
+                    Some((_, known)) => *known = known.max(*per_s as f32),
+                    None => peaks.push_back((*hour, *per_s as f32)),
+                }
+                if peaks.len() > WEEKS {
+                    peaks.pop_front();
+                }
+            }
+            Op::Keeps { slot, start, step } => {
+                if let Some(booking) = self.kept.bookings.get_mut(slot) {
+                    booking.keeps = Some((*start, *step));
                 }
             }
         }
@@ -265,6 +283,7 @@
             order,
             preempted: Vec::new(),
             cancelled: false,
+            keeps: None,
         };
         self.kept.bookings.insert(placed.slot, booking);
     }
--- a/src/reservations/calendar_tests.rs
+++ b/src/reservations/calendar_tests.rs
@@ -205,7 +205,7 @@
     let mut asked = job("bills", "a", "2026-12-02T09:00", 60, 50.0);
     asked.site = Some("aarhus".into());
     assert!(decide(&book, &asked).is_ok());
-    let peak = |hour: usize, per_s| Op::Peak { site: "aarhus".into(), hour: hour as u8, per_s };
+    let peak = |hour: usize, per_s| Op::Peak { site: "aarhus".into(), hour: hour as u32, per_s };
     for hour in 0..168 {
         book.apply(1, &peak(hour, 20.0));
     }
@@ -215,8 +215,8 @@
     asked.per_s = 12.0;
     assert!(decide(&book, &asked).is_ok());
     // Four calm weeks, and it is forgotten.
-    for _ in 0..4 {
-        book.apply(3, &peak(hour_of(at), 20.0));
+    for week in 1..5 {
+        book.apply(3, &peak(hour_of(at) + 168 * week, 20.0));
     }
     asked.per_s = 50.0;
     assert!(decide(&book, &asked).is_ok());
--- a/src/reservations/host.rs
+++ b/src/reservations/host.rs
@@ -13,7 +13,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 /// Who asked here hears within this, ms.
-const ANSWER_MS: f64 = 5000.0;
+const ANSWER_MS: f64 = 4000.0;
 /// The next keeper is asked after this, ms.
 const NEXT_MS: f64 = 300.0;
 /// So many wishes wait for the grantor's decision; more are asked again by whoever asked.
@@ -24,6 +24,12 @@
 /// That time has passed is written down at least so often, minutes.
 const PASSED_MIN: Minute = 60;
 
+/// A peak is written down once it is so much above what is written for its hour, and so often at most, ms.
+const PEAK_RISE: f64 = 1.05;
+const PEAK_MS: f64 = 60_000.0;
+/// A change of dear live traffic counts from this share of it, and of one set-up a second.
+const DEAR_LEAST: f64 = 0.1;
+
 /// Who asked.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Asker {
@@ -56,6 +62,8 @@
     /// Hours since 1970.
     hour: u32,
     peak: f64,
+    /// When it was last written down, monotonic, ms.
+    written_at: f64,
 }
 
 /// The reservations of one instance.
@@ -157,6 +165,12 @@
         out.extend(mail.into_iter().map(|(to, message)| Output::Send { to, message }));
     }
 
+    /// The bookings that run now, as [`Output::Budgets`] told them last, but with all that they were promised.
+    #[must_use]
+    pub fn booked(&self) -> Vec<Budget> {
+        self.running.booked(self.replica.log().book(), &self.settings)
+    }
+
     /// When it wants an [`Input::Tick`] at the latest, monotonic, ms.
     #[must_use]
     pub fn next_due(&self) -> f64 {
@@ -174,9 +188,9 @@
                 self.pending.insert(self.next_number, pending);
             }
             Input::Used { booking, per_s } => {
-                if let Some(slot) = booking.0.checked_sub(BudgetId::BOOKED) {
+                if let Some(slot) = booking.0.checked_sub(BudgetId::BOOKED).filter(|_| self.led) {
                     let (book, rule) = (self.replica.log().book(), &self.settings.no_show);
-                    self.running.used(book, rule, slot, per_s.max(0.0), now, news);
+                    self.ops.extend(self.running.used(book, rule, slot, per_s.max(0.0), now, news));
                 }
             }
             Input::Live { site, per_s, dear_per_s } => self.live(&site, per_s, dear_per_s),
@@ -211,23 +225,37 @@
         self.sites.entry(name.to_owned()).or_default()
     }
 
-    /// Keeps the highest of each hour, and has it written down once the hour is over.
+    /// Keeps the highest of each hour, and has it written down as it rises.
     fn live(&mut self, site: &str, per_s: f64, dear: f64) {
         if !self.settings.sites.iter().any(|s| s.name == site) {
             return;
         }
-        self.site(site).dear = dear.max(0.0);
+        let known = self.site(site);
+        // What bookings have is changed for a notable change only: each takes a lease to be followed.
+        if (dear - known.dear).abs() > DEAR_LEAST * (1.0 + known.dear) {
+            known.dear = dear.max(0.0);
+        }
         let hour = minute(self.unix_ms) / 60;
-        let kept = self.hours.entry(site.to_owned()).or_insert(Hour { hour, peak: per_s });
-        if kept.hour == hour {
-            kept.peak = kept.peak.max(per_s);
+        let fresh = Hour { hour, peak: 0.0, written_at: f64::NEG_INFINITY };
+        let kept = self.hours.entry(site.to_owned()).or_insert(fresh);
+        let over = (kept.hour != hour).then(|| std::mem::replace(kept, fresh));
+        kept.peak = kept.peak.max(per_s);
+        // Only the grantor writes, and at once: the next one is not to have forgotten the hour's beginning.
+        let book = self.replica.log().book();
+        let known = |hour| book.peak_in(site, hour).unwrap_or(0.0);
+        let mut peaks = Vec::new();
+        if let Some(over) = over.filter(|over| over.peak > known(over.hour)) {
+            peaks.push((over.hour, over.peak));
+        }
+        if !self.led {
             return;
         }
-        let of_week = super::book::hour_of(kept.hour * 60) as u8;
-        self.ops.push_back(Op::Peak { site: site.to_owned(), hour: of_week, per_s: kept.peak });
-        *kept = Hour { hour, peak: per_s };
-        // Only the grantor writes; elsewhere they would pile up.
-        self.ops.truncate(self.settings.sites.len());
+        if kept.peak > known(hour) * PEAK_RISE && self.now - kept.written_at >= PEAK_MS {
+            kept.written_at = self.now;
+            peaks.push((hour, kept.peak));
+        }
+        let op = |(hour, per_s)| Op::Peak { site: site.to_owned(), hour, per_s };
+        self.ops.extend(peaks.into_iter().map(op));
     }
 
     /// Asks the grantor, or where none is known one keeper after the other.
@@ -340,6 +368,7 @@
             self.waiting.clear();
             self.under_way = None;
             self.ops.clear();
+            self.running.forget_wanted();
             if leads {
                 self.file();
             }
--- a/src/reservations/mod.rs
+++ b/src/reservations/mod.rs
@@ -36,7 +36,7 @@
 /// What happened.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Input {
-    /// Somebody here wants something; the answer comes under `ticket`, after 5 s at the latest.
+    /// Somebody here wants something; the answer comes under `ticket`, after 4 s at the latest.
     Ask {
         ticket: u64,
         wish: Wish,
--- a/src/reservations/running.rs
+++ b/src/reservations/running.rs
@@ -1,6 +1,6 @@
 //! What running bookings have now: less where the job does not come, and less where sites are lost or can take less.
 
-use super::book::{Book, Minute, Span};
+use super::book::{Book, Minute, Op, Span};
 use super::settings::{NoShow, Settings};
 use crate::terms::{Budget, BudgetId, Spending};
 use std::collections::BTreeMap;
@@ -19,8 +19,9 @@
 #[derive(Clone, Debug)]
 struct Run {
     span: Span,
-    /// Place in the settings' steps of what it keeps.
+    /// Place in the settings' steps of what it keeps, and what that is to be once it is committed.
     step: usize,
+    wanted: Option<usize>,
     /// Since when it has used little, or enough for a step up, ms.
     low_since: Option<f64>,
     high_since: Option<f64>,
@@ -48,7 +49,23 @@
         self.runs.get(&slot).map_or((0.0, None), |r| (r.granted, r.cut.clone()))
     }
 
-    /// The fleet was asked for so many set-ups a second of a booking. One that is never told of keeps all.
+    /// Those that run, with all that they were promised.
+    #[must_use]
+    pub fn booked(&self, book: &Book, settings: &Settings) -> Vec<Budget> {
+        let all = |(slot, _): (&u16, &Run)| {
+            let per_s = book.bookings().get(slot)?.request.per_s;
+            budget(book, settings, *slot, per_s)
+        };
+        self.runs.iter().filter_map(all).collect()
+    }
+
+    /// What is wanted may not come to be committed: this instance decides no more, or only begins to.
+    pub fn forget_wanted(&mut self) {
+        self.runs.values_mut().for_each(|run| run.wanted = None);
+    }
+
+    /// The fleet was asked for so many set-ups a second of a booking. One that is never told of keeps all. What is to be
+    /// committed, if it is to keep another step.
     pub fn used(
         &mut self,
         book: &Book,
@@ -57,16 +74,17 @@
         per_s: f64,
         now: f64,
         news: &mut Vec<News>,
-    ) {
-        let (Some(run), Some(booking)) = (self.runs.get_mut(&slot), book.bookings().get(&slot)) else {
-            return;
-        };
+    ) -> Option<Op> {
+        let (run, booking) = (self.runs.get_mut(&slot)?, book.bookings().get(&slot)?);
+        if run.wanted.is_some() {
+            return None;
+        }
         let booked = booking.request.per_s;
         let full = rule.steps.len() - 1;
         if per_s < rule.used_share * booked {
             let since = *run.low_since.get_or_insert(now);
             if now - since >= rule.grace_s * 1000.0 && run.step > 0 {
-                run.step = 0;
+                run.wanted = Some(0);
                 let kept = rule.steps[0] * booked;
                 let text = format!("used {per_s:.1} of {booked} set-ups a second: {kept:.1} are kept");
                 news.push(News { slot, text });
@@ -78,10 +96,12 @@
         if run.step >= full || !enough {
             run.high_since = None;
         } else if now - *run.high_since.get_or_insert(now) >= rule.step_s * 1000.0 {
-            (run.step, run.high_since) = (run.step + 1, Some(now));
-            let back = rule.steps[run.step] * booked;
+            (run.wanted, run.high_since) = (Some(run.step + 1), Some(now));
+            let back = rule.steps[run.step + 1] * booked;
             news.push(News { slot, text: format!("the job came: it has {back:.1} set-ups a second") });
         }
+        let step = u8::try_from(run.wanted?).ok()?;
+        Some(Op::Keeps { slot, start: run.span.start, step })
     }
 
     /// The budgets of the bookings that run at `at`.
@@ -100,11 +120,15 @@
                 self.runs.remove(&slot);
                 continue;
             };
-            let new = Run { span, step: full, low_since: None, high_since: None, granted: 0.0, cut: None };
+            let (low_since, high_since, wanted) = (None, None, None);
+            let new = Run { span, step: full, wanted, low_since, high_since, granted: 0.0, cut: None };
             let run = self.runs.entry(slot).or_insert_with(|| new.clone());
             if run.span.start != span.start {
                 *run = new;
             }
+            let keeps = booking.keeps.filter(|(start, _)| *start == span.start);
+            run.step = keeps.map_or(full, |(_, step)| usize::from(step).min(full));
+            run.wanted = run.wanted.filter(|&wanted| wanted != run.step);
             // Highest priority first; of two with the same, the earlier promise.
             order.push((std::cmp::Reverse(booking.request.priority), booking.order, slot));
         }
@@ -126,11 +150,11 @@
             }
             (run.granted, run.cut) = (granted, cut);
         }
-        self.runs.iter().filter_map(|(slot, run)| budget(book, settings, *slot, run)).collect()
+        self.runs.iter().filter_map(|(slot, run)| budget(book, settings, *slot, run.granted)).collect()
     }
 }
 
-fn budget(book: &Book, settings: &Settings, slot: u16, run: &Run) -> Option<Budget> {
+fn budget(book: &Book, settings: &Settings, slot: u16, per_s: f64) -> Option<Budget> {
     let request = &book.bookings().get(&slot)?.request;
     Some(Budget {
         id: BudgetId(BudgetId::BOOKED.checked_add(slot)?),
@@ -140,8 +164,8 @@
         site: request.site.clone(),
         class: Some(request.class.clone()),
         number_prefix: request.number_prefix.clone(),
-        per_s: run.granted,
-        burst: run.granted * settings.burst_s,
+        per_s,
+        burst: per_s * settings.burst_s,
         floor: settings.floor,
     })
 }
--- a/src/shares/divide.rs
+++ b/src/shares/divide.rs
@@ -54,6 +54,9 @@
         chosen.sort_by_key(|&at| (claims[at].asked <= 0.0, turn(at)));
         chosen.truncate(places);
     }
+    // What is held already must not outlast a whole that was lowered, however little.
+    let held = claims.iter().fold(Amount::default(), |sum, c| sum.plus(c.given));
+    let lowered = held.per_s > whole.per_s || held.burst > whole.burst;
     let rates = rates(whole.per_s as f64 / 1000.0, chosen.iter().map(|&at| &claims[at]).collect());
     let all: f64 = rates.iter().sum();
     let mut targets = vec![Amount::default(); claims.len()];
@@ -61,7 +64,8 @@
     for (&at, rate) in chosen.iter().zip(rates) {
         if rate > 0.0 {
             let burst = quantum + (spread * rate / all).floor() as u64;
-            targets[at] = steady(Amount { per_s: (rate * 1000.0).floor() as u64, burst }, claims[at].given);
+            let target = Amount { per_s: (rate * 1000.0).floor() as u64, burst };
+            targets[at] = if lowered { target } else { steady(target, claims[at].given) };
         }
     }
     targets
--- a/src/shares/exchange.rs
+++ b/src/shares/exchange.rs
@@ -1,6 +1,7 @@
 //! What the control thread and the traffic thread share: the parts decided, as one immutable snapshot, and counters of
 //! what was asked for. Neither waits for the other.
 
+use super::sites::Sites;
 use crate::terms::{Budget, BudgetId, Demand, Part};
 use arc_swap::ArcSwap;
 use std::sync::Arc;
@@ -34,6 +35,7 @@
     snapshot: ArcSwap<Snapshot>,
     version: AtomicU64,
     counters: ArcSwap<Counters>,
+    sites: Sites,
 }
 
 fn counters(budgets: &[Budget], old: &Counters) -> Counters {
@@ -53,9 +55,16 @@
             snapshot: ArcSwap::from_pointee(snapshot),
             version: AtomicU64::new(1),
             counters: ArcSwap::from_pointee(counters(budgets, &Vec::new())),
+            sites: Sites::default(),
         }
     }
 
+    /// What is told of the sites that reservations know.
+    #[must_use]
+    pub fn sites(&self) -> &Sites {
+        &self.sites
+    }
+
     /// Control thread: the parts are these from now on. To be called before any message is sent that came with or
     /// after them: an acknowledgement that travels ahead of it would give away what is still being spent.
     pub fn publish(&self, parts: Vec<Part>) {
--- a/src/shares/grantor.rs
+++ b/src/shares/grantor.rs
@@ -6,7 +6,7 @@
 use super::message::{Granted, Message, Reported};
 use super::settings::ShareSettings;
 use super::{Output, Sends};
-use crate::terms::{Budget, BudgetId, Epoch, Member};
+use crate::terms::{Budget, BudgetId, Demand, Epoch, Member};
 
 /// In one round a member is granted to so often at most after the division itself: it bounds the traffic.
 const REGRANTS: u8 = 2;
@@ -300,7 +300,21 @@
         self.grant(now, &here, true, sends);
         self.regrant_at = if self.shrinking.is_empty() { f64::INFINITY } else { now + self.round_ms / 4.0 };
         let (epoch, round) = (self.epoch, self.round);
-        out.push(Output::RoundClosed { epoch, round, at: now, arrivals: open.arrivals, missing });
+        let (arrivals, demand) = (open.arrivals, self.demand());
+        out.push(Output::RoundClosed { epoch, round, at: now, arrivals, missing, demand });
+    }
+
+    /// What all members ask for, by budget; of those not heard now what is remembered.
+    fn demand(&self) -> Vec<Demand> {
+        let of = |(at, budget): (usize, &Budget)| {
+            let (mut per_s, mut worth) = (0.0, 0.0);
+            for wish in self.peers.iter().map(|peer| peer.wishes[at]) {
+                per_s += wish.asked;
+                worth += wish.asked * wish.worth;
+            }
+            Demand { budget: budget.id, per_s, worth: if per_s > 0.0 { worth / per_s } else { 0.0 } }
+        };
+        self.budgets.iter().enumerate().map(of).collect()
     }
 
     /// Sets what each member is to have.
@@ -374,11 +388,11 @@
             for (at, (free, lacking)) in shares.iter().enumerate() {
                 let (had, want) = self.growth(member, at);
                 let gain = want.part(*free, *lacking);
-                // Where unheard members may hold anything, what is known is held where it is.
+                // Where unheard members may hold anything, what is known is held where it is, or lower.
                 let wanted = if self.settled {
                     self.targets[usize::from(member.0)][at].min(had.plus(gain))
                 } else {
-                    had.min(self.ledger.whole(self.budgets[at].id))
+                    self.ledger.within(self.budgets[at].id, had)
                 };
                 let all = renew && !(wanted.is_none() && had.is_none());
                 if all || !gain.is_none() {
--- a/src/shares/ledger.rs
+++ b/src/shares/ledger.rs
@@ -122,6 +122,7 @@
 
     /// These are the budgets; what is out of others stays on account until it lapses.
     pub(super) fn budgets(&mut self, budgets: &[Budget]) {
+        self.accounts.retain(|_, account| !account.reserved.is_none());
         for account in self.accounts.values_mut() {
             account.whole = Amount::default();
         }
@@ -144,14 +145,35 @@
         self.accounts.get(&budget).map_or(Amount::default(), |a| a.whole)
     }
 
-    /// What nobody may hold of a budget, and could be granted.
+    /// What nobody may hold of a budget, and could be granted. While more of any budget may be held than its whole, that
+    /// is nothing: what was taken out of one may be what another has now.
     pub(super) fn free(&self, now: f64, budget: BudgetId) -> Amount {
+        let over = |a: &Account| !a.reserved.less(a.whole).is_none();
         match self.accounts.get(&budget) {
-            Some(account) if now >= self.settled_at => account.whole.less(account.reserved),
+            Some(account) if now >= self.settled_at && !self.accounts.values().any(over) => {
+                account.whole.less(account.reserved)
+            }
             _ => Amount::default(),
         }
     }
 
+    /// This part of what may be held, lowered in proportion where that is more than the whole.
+    pub(super) fn within(&self, budget: BudgetId, part: Amount) -> Amount {
+        let Some(account) = self.accounts.get(&budget) else { return Amount::default() };
+        let lowered = |part: u64, whole: u64, held: u64| {
+            if held <= whole {
+                return part;
+            }
+            // Never more than the part: the whole is less than what is held.
+            u64::try_from(u128::from(part) * u128::from(whole) / u128::from(held)).unwrap_or(0)
+        };
+        let (whole, held) = (account.whole, account.reserved);
+        Amount {
+            per_s: lowered(part.per_s, whole.per_s, held.per_s),
+            burst: lowered(part.burst, whole.burst, held.burst),
+        }
+    }
+
     /// What a member may hold in this life.
     pub(super) fn reserved(&self, member: Member, life: u32, budget: BudgetId) -> Amount {
         let entries = self.accounts.get(&budget).and_then(|a| a.entries.get(usize::from(member.0)));
--- a/src/shares/mod.rs
+++ b/src/shares/mod.rs
@@ -16,6 +16,7 @@
 mod purse;
 mod settings;
 pub mod sim;
+mod sites;
 #[cfg(test)]
 mod tests;
 
@@ -23,6 +24,7 @@
 pub use message::{Granted, Message, Reported};
 pub use purse::Purse;
 pub use settings::ShareSettings;
+pub use sites::Sites;
 
 use crate::terms::{Budget, Demand, Epoch, Member, Part};
 use grantor::Grantor;
@@ -67,13 +69,15 @@
         at: f64,
         expected: Vec<Member>,
     },
-    /// The round was divided with what came; `arrivals` are ms from its opening.
+    /// The round was divided with what came; `arrivals` are ms from its opening, `demand` is the fleet's by budget, with
+    /// the mean worth.
     RoundClosed {
         epoch: Epoch,
         round: u32,
         at: f64,
         arrivals: Vec<(Member, f64)>,
         missing: Vec<Member>,
+        demand: Vec<Demand>,
     },
     /// A report came after its round was closed.
     RoundLate {
--- a/src/shares/tests.rs
+++ b/src/shares/tests.rs
@@ -97,6 +97,25 @@
     assert_eq!(ledger.free(1010.0, id), less);
 }
 
+#[test]
+fn nothing_is_free_while_more_of_another_budget_is_out_than_its_whole() {
+    let (all, job) = (BudgetId(0), BudgetId(BudgetId::BOOKED));
+    let mut ledger = Ledger::new(3, 0.0);
+    ledger.budgets(&[budget(0, 100.0, 40.0, 0.0)]);
+    ledger.grant(0.0, (Member(0), 7, 1), all, WHOLE, 1000.0);
+    ledger.budgets(&[budget(0, 60.0, 24.0, 0.0), budget(job.0, 40.0, 16.0, 0.0)]);
+    assert!(ledger.free(10.0, job).is_none(), "it is still in the other's parts");
+    let lower = Amount { per_s: 60_000, burst: 24_000 };
+    assert_eq!(ledger.grant(10.0, (Member(0), 7, 2), all, lower, 1010.0), lower);
+    assert!(ledger.free(20.0, job).is_none());
+    ledger.acknowledged(Member(0), 7, 2);
+    assert_eq!(ledger.free(30.0, job), Amount { per_s: 40_000, burst: 16_000 });
+    // A budget that is gone is out until it lapses.
+    ledger.budgets(&[budget(job.0, 40.0, 16.0, 0.0)]);
+    assert!(ledger.free(40.0, job).is_none() && ledger.lapse(1010.0));
+    assert!(!ledger.free(1010.0, job).is_none());
+}
+
 #[test]
 fn settings_that_cannot_be_kept_are_named() {
     let good = ShareSettings {
@@ -122,3 +141,13 @@
     refused(|s| s.budgets[0].burst = 40.0, "under 1");
     refused(|s| s.budgets[0].id = BudgetId(BudgetId::BOOKED), "booking");
 }
+
+#[test]
+fn small_changes_of_demand_move_nothing_but_a_whole_lowered_by_as_little_is_followed() {
+    let given = Amount { per_s: 50_000, burst: 20_000 };
+    let claims = [48.0, 52.0].map(|asked| Claim { given, ..claim(asked as u16, asked, 1.0) });
+    assert_eq!(divide(WHOLE, 1000, 0, &claims)[0], given);
+    let lower = Amount { per_s: 97_000, burst: 39_000 };
+    let sum = divide(lower, 1000, 0, &claims).into_iter().fold(Amount::default(), Amount::plus);
+    assert!(sum.per_s <= lower.per_s && sum.burst <= lower.burst, "{sum:?}");
+}
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -13,11 +13,14 @@
 pub struct Member(pub u16);
 
 /// A budget: first those of the operator's file, in its order; bookings take the numbers from
-/// [`BudgetId::BOOKED`] on.
+/// [`BudgetId::BOOKED`] on. Those from [`BudgetId::LIVE`] up to there are sites, of which the whole is nothing: what is
+/// asked of them is only told.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct BudgetId(pub u16);
 
 impl BudgetId {
+    /// The first number under which a site's live traffic is told.
+    pub const LIVE: u16 = 0x7000;
     /// The first number of a booking's budget.
     pub const BOOKED: u16 = 0x8000;
 }
--- a/tests/control/fleet.rs
+++ b/tests/control/fleet.rs
@@ -6,7 +6,8 @@
 use corkreach::lab::fleet::{self as lab, Instance, Orders};
 use corkreach::lab::names::Listed;
 use corkreach::lab::standin::{Mode, StandIn};
-use std::net::UdpSocket;
+use std::net::{SocketAddr, UdpSocket};
+use std::ops::RangeInclusive;
 use std::path::{Path, PathBuf};
 use std::process::Command;
 use std::sync::Arc;
@@ -31,10 +32,29 @@
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_secs_f64() * 1000.0
 }
 
+/// What a fleet has beside the budget that is divided.
+pub struct Setup {
+    /// More of the operator's file.
+    pub file: String,
+    pub classes: Vec<Class>,
+    /// The call servers' sites.
+    pub sites: [&'static str; 2],
+}
+
+impl Default for Setup {
+    fn default() -> Self {
+        let classes = vec![Class { name: "voice".into(), worth: 1.0, part: 1.0 }];
+        Setup { file: String::new(), classes, sites: ["aarhus"; 2] }
+    }
+}
+
 pub struct Fleet {
     name: &'static str,
     control: String,
     classes: Vec<Class>,
+    sites: [&'static str; 2],
+    /// Budgets of bookings, whose parts count as well.
+    pub booked: Vec<&'static str>,
     servers: Arc<Vec<StandIn>>,
     pub links: Datagrams,
     instances: Vec<Instance>,
@@ -85,21 +105,39 @@
 impl Fleet {
     /// `n` instances, each link between them with the faults that `faults` has for its sender.
     pub fn start(n: usize, name: &'static str, faults: impl Fn(usize) -> Faults) -> Fleet {
+        Self::start_with(n, name, faults, Setup::default())
+    }
+
+    /// The same with this setup.
+    pub fn start_with(n: usize, name: &'static str, faults: impl Fn(usize) -> Faults, setup: Setup) -> Fleet {
+        let Setup { file, classes, sites } = setup;
         let control = format!(
             "keepers: [0, 1, 2]\nlease_ms: {LEASE_MS}\nround_ms: {ROUND_MS}\nbudgets:\n  \
-             - {{name: set-ups, spend: set_ups, per_s: {PER_S}, burst: {BURST}, floor: {FLOOR}}}\n"
+             - {{name: set-ups, spend: set_ups, per_s: {PER_S}, burst: {BURST}, floor: {FLOOR}}}\n{file}"
         );
         let servers = Arc::new((0..2).map(|_| StandIn::start(Mode::Answer).unwrap()).collect::<Vec<_>>());
         let links = Datagrams::start(n, 0x5eed ^ n as u64).unwrap();
         (0..n).for_each(|i| links.set_around(i, faults(i)));
-        let classes = vec![Class { name: "voice".into(), worth: 1.0, part: 1.0 }];
         let doors = (0..n).map(|_| Arc::default()).collect();
         let stop = Arc::new(AtomicBool::new(false));
         let reached = Some(sample(servers.clone(), stop.clone()));
         let folder = tempfile::tempdir().unwrap();
         let instances = Vec::new();
-        let mut fleet =
-            Fleet { name, control, classes, servers, links, instances, doors, folder, reached, stop };
+        let booked = Vec::new();
+        let mut fleet = Fleet {
+            name,
+            control,
+            classes,
+            sites,
+            booked,
+            servers,
+            links,
+            instances,
+            doors,
+            folder,
+            reached,
+            stop,
+        };
         for i in 0..n {
             let instance = fleet.launch(i);
             fleet.instances.push(instance);
@@ -131,7 +169,7 @@
             addr: server.addr,
             place: place as u32,
             started_ms: 0,
-            zone: "aarhus".into(),
+            zone: self.sites[place].into(),
             draining: false,
         };
         let list = self.servers.iter().enumerate().map(listed).collect();
@@ -199,17 +237,30 @@
 
     /// Callers at each instance for so long, at so many set-ups a second each.
     pub fn offer(&self, per_s: impl Fn(usize) -> f64, span: Duration) -> Load {
+        self.offer_to(0..=u64::MAX, per_s, span)
+    }
+
+    /// The same, to these numbers.
+    pub fn offer_to(
+        &self,
+        numbers: RangeInclusive<u64>,
+        per_s: impl Fn(usize) -> f64,
+        span: Duration,
+    ) -> Load {
+        // Calls of two loads are told apart by their references.
+        let loads = numbers.start() >> 52 << 40;
         let profile = Profile {
             classes: self.classes.clone(),
             wait_ms: 2000,
             repeats: None,
             await_ends: false,
             places: (0..self.servers.len() as u32).collect(),
+            numbers,
             seed: 11,
         };
         let offer = |(i, door): (usize, &Arc<Door>)| {
             let (door, profile, per_s, base) =
-                (door.clone(), profile.clone(), per_s(i), (i as u64 + 1) << 32);
+                (door.clone(), profile.clone(), per_s(i), loads | (i as u64 + 1) << 32);
             let seconds = span.as_secs() as usize;
             std::thread::spawn(move || caller::offer(door, &profile, |_| per_s, seconds, base, PATIENCE))
         };
@@ -226,7 +277,34 @@
     // ---- what is seen ----
 
     fn held(&self) -> Vec<Held> {
-        ledger::held(&self.logs(), "set-ups")
+        let budgets = std::iter::once(&"set-ups").chain(&self.booked);
+        budgets.flat_map(|budget| ledger::held(&self.logs(), budget)).collect()
+    }
+
+    /// What of a budget is held by all together now, a second.
+    pub fn held_of(&self, budget: &str) -> f64 {
+        ledger::sum_at(&ledger::held(&self.logs(), budget), now_ms())
+    }
+
+    /// Where operators reach an instance.
+    pub fn management(&self, i: usize) -> SocketAddr {
+        self.instances[i].management.unwrap()
+    }
+
+    /// What an instance has said in its log.
+    pub fn said(&self, i: usize) -> String {
+        ledger::text(&self.instance_folder(i).join("log"))
+    }
+
+    /// Changes the operator's file of an instance, by which it goes once it is told to read it again.
+    pub fn rewrite(&self, i: usize, change: impl Fn(&str) -> String) {
+        let file = self.instance_folder(i).join("control.yaml");
+        std::fs::write(file, change(&self.control)).unwrap();
+    }
+
+    /// The call server at this place goes down, or comes back.
+    pub fn serve_in(&self, place: usize, mode: Mode) {
+        self.servers[place].set_mode(mode);
     }
 
     /// Waits for a condition.
--- a/tests/control/main.rs
+++ b/tests/control/main.rs
@@ -2,6 +2,7 @@
 //! all parts, read from every process's log, is never above the whole; every call has one final answer; and what reaches
 //! the call servers over any window is at most the whole's rate for it and its burst.
 
+mod bookings;
 mod fleet;
 mod ledger;
 
