Let calls wait for their budget, steer them to where one is left, and count later attempts

Cause (tables by class and instance, and a play on a virtual clock that comes out the same): a second attempt that found its call server pressed, or an empty purse, was the call's final refusal, whatever it was worth and whatever another call server had left (`send` in `src/engine/calls.rs`). First attempts were not bounded at all, so servers still met bursts, and each instance that met one shut its way there for seconds by itself: that is why instances differ.

Change: an attempt that finds no budget waits for it, the dearest class for 0.7 s at most and others for 0.25 s, the dearest first, and no more of them than can be paid in that time (`shares/held.rs`); a call whose first choice has no budget left asks first where there is one (`paid_place`); a later attempt is paid from what the set-ups' budgets leave as well (`shares/payment.rs`). `lab::clocked` plays a lab scenario on a virtual clock, in one thread, the same each time.

--- a/src/engine/answers.rs
+++ b/src/engine/answers.rs
@@ -71,7 +71,7 @@
         }
         let Some(attempt) = call.attempt.as_ref().filter(|a| a.server == server) else { return };
         let (sent_at, on) = match attempt.stage {
-            Stage::Waiting => return,
+            Stage::Unpaid | Stage::Waiting => return,
             Stage::Out(on) | Stage::Ending(on, _) => (attempt.sent_at, on),
         };
         // What never stood ends on the connection of its set-up; what stood ends there or, if that is of no use any
--- a/src/engine/calls.rs
+++ b/src/engine/calls.rs
@@ -1,11 +1,10 @@
 //! Calls and their attempts: from the set-up to the one final answer, and to the release of what stood.
 
-use super::shares::Payment;
+use super::shares::Paid;
 use super::{CallerConn, Due, Effect, Engine, Fault, ServerConn, SetUp, ToCaller, ToServer};
 use crate::audit::Decision;
 use crate::interface::{self as module, CallId, LoadReport, Outcome, ServerId};
 use crate::settings::ClassRules;
-use crate::terms::Spending;
 use std::collections::{BTreeMap, HashSet, VecDeque};
 
 /// The module answers before the caller's time is over; if it has not this long after, the engine does, ms.
@@ -25,6 +24,8 @@
 
 #[derive(Clone, Copy, PartialEq)]
 pub(super) enum Stage {
+    /// For its budget.
+    Unpaid,
     /// For a connection.
     Waiting,
     Out(ServerConn),
@@ -48,7 +49,7 @@
     pub(super) answered: bool,
     pub(super) attempts: u32,
     /// Of these, the ones that the fleet limits and budgets let through.
-    weighed: u32,
+    pub(super) weighed: u32,
     pub(super) attempt: Option<Attempt>,
     pub(super) guard_until: f64,
     pub(super) standing: Option<Standing>,
@@ -158,7 +159,7 @@
         let standing = call.standing.as_ref().filter(|s| s.server == server).map(|s| s.conn);
         let out = || match call.attempt.as_ref().filter(|a| a.server == server)?.stage {
             Stage::Out(on) | Stage::Ending(on, _) => Some(on),
-            Stage::Waiting => None,
+            Stage::Unpaid | Stage::Waiting => None,
         };
         standing.or_else(out)
     }
@@ -207,6 +208,7 @@
                 return Ok(());
             }
         };
+        let first_choice = self.paid_place(class, set_up.number.as_deref(), first_choice);
         self.decided(id, out, || Decision::Admitted { class: self.host.classes[class].name.clone() });
         // The time that it lay unread is part of its caller's wait.
         let deadline = read_at.min(self.now) + set_up.wait_ms;
@@ -363,29 +365,31 @@
                 return self.answer(id, ToCaller::Refused { call: id, stay_away_ms }, out);
             }
         }
-        if let (Some(shares), Some(s)) = (self.shares.as_mut(), self.fleet.servers.get(&server)) {
-            let payment = Payment {
-                spending: if first { Spending::SetUps } else { Spending::SecondAttempts },
-                server: &s.listing.name,
-                site: s.listing.zone.as_deref(),
-                class: self.host.classes.get(call.class).map(|c| c.name.as_str()),
-                number: call.number.as_deref(),
-                worth,
-            };
-            let room = first || shares.has_room(self.controller.share_refused(now, server));
-            if !room || !shares.pays(&payment) {
-                let stay_away_ms = shares.stay_away_ms(self.stay_away_max_ms);
-                log::debug!("call {:016x}: attempt {number} finds no budget of the fleet's", id.0);
-                self.tell_ended(id, server, Outcome::NotSent, true, LoadReport::default());
-                return self.answer(id, ToCaller::Refused { call: id, stay_away_ms }, out);
-            }
+        match self.pay(id, server) {
+            Paid::Now => {}
+            Paid::Later(_) => return,
+            Paid::No => return self.refuse_unpaid(id, server, out),
+        }
+        let Some(call) = self.calls.live.get_mut(&id) else { return };
+        call.attempts += 1;
+        call.attempt = Some(Attempt { number, server, sent_at: now, stage: Stage::Waiting });
+        if timeout_ms > 0.0 {
+            self.timers.set(now + timeout_ms, Due::AttemptOver(id, number));
         }
-        if let Some(limits) = self.limits.as_mut().filter(|_| first) {
+        self.begin(id, out);
+    }
+
+    /// An attempt that nothing holds back any more goes out, or waits for a connection.
+    pub(super) fn begin(&mut self, id: CallId, out: &mut Vec<Effect>) {
+        let now = self.now;
+        let Some(call) = self.calls.live.get_mut(&id) else { return };
+        let Some(attempt) = call.attempt.as_mut() else { return };
+        (attempt.stage, attempt.sent_at) = (Stage::Waiting, now);
+        let (number, server) = (attempt.number, attempt.server);
+        if let Some(limits) = self.limits.as_mut().filter(|_| call.weighed == 0) {
             limits.first_sent(server, now);
         }
         call.weighed += 1;
-        call.attempts += 1;
-        call.attempt = Some(Attempt { number, server, sent_at: now, stage: Stage::Waiting });
         self.decided(id, out, || {
             let name = self.fleet.name(server).to_owned();
             if number == 0 {
@@ -394,9 +398,6 @@
                 Decision::Retried { server: name, attempt: number }
             }
         });
-        if timeout_ms > 0.0 {
-            self.timers.set(now + timeout_ms, Due::AttemptOver(id, number));
-        }
         match self.connection_to(server, out) {
             Some(conn) => self.write_set_up(id, conn, out),
             None => self.timers.set(now + self.host.dial_timeout_ms, Due::DialOver(id, number)),
@@ -426,7 +427,8 @@
     }
 
     pub(super) fn end_waiting(&mut self, server: ServerId, outcome: Outcome) {
-        for id in self.calls.ids(|c| c.attempt.as_ref().is_some_and(|a| a.waits_for(server))) {
+        let unpaid = |a: &Attempt| a.server == server && a.stage == Stage::Unpaid;
+        for id in self.calls.ids(|c| c.attempt.as_ref().is_some_and(|a| a.waits_for(server) || unpaid(a))) {
             self.end_attempt(id, outcome, LoadReport::default());
         }
     }
@@ -443,7 +445,7 @@
     pub(super) fn end_out(&mut self, id: CallId, outcome: Outcome, out: &mut Vec<Effect>) {
         let Some(attempt) = self.calls.live.get_mut(&id).and_then(|c| c.attempt.as_mut()) else { return };
         match attempt.stage {
-            Stage::Waiting => self.end_attempt(id, outcome, LoadReport::default()),
+            Stage::Unpaid | Stage::Waiting => self.end_attempt(id, outcome, LoadReport::default()),
             Stage::Out(conn) => {
                 attempt.stage = Stage::Ending(conn, outcome);
                 out.push(Effect::ToServer { conn, message: ToServer::Release(id), confirm: true });
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -55,6 +55,8 @@
     /// No connection came up for this attempt in time.
     DialOver(CallId, u32),
     Redial(ServerId),
+    /// Attempts wait for their budget.
+    Budgets,
     /// A probe's turn, and the end of a probe's time.
     Probe(ServerId),
     ProbeOver(u64),
@@ -255,6 +257,7 @@
                 }
             }
             Due::DialOver(call, attempt) => self.dial_over(call, attempt),
+            Due::Budgets => self.pay_held(out),
             Due::Redial(server) => self.redial(server, out),
             Due::Probe(server) => self.send_probe(server, out),
             Due::ProbeOver(id) => self.probe_over(id),
--- a/src/lab/fleet.rs
+++ b/src/lab/fleet.rs
@@ -45,7 +45,7 @@
 }
 
 /// The settings every lab instance serves under: the scenario's classes, replies as reports, a 500 ms dial.
-fn settings(orders: &Orders, index: usize) -> Value {
+pub(super) fn settings(orders: &Orders, index: usize) -> Value {
     let services: Vec<Value> = orders
         .classes
         .iter()
--- a/src/lab/mod.rs
+++ b/src/lab/mod.rs
@@ -9,6 +9,7 @@
 
 pub mod caller;
 mod chart;
+pub mod clocked;
 pub mod datagrams;
 pub mod fleet;
 pub mod names;
@@ -210,16 +211,19 @@
     }
 }
 
-fn stand_in(server: &scenario::Server) -> std::io::Result<StandIn> {
-    let room = match (server.line_per_s, server.capacity_per_s) {
+fn room_of(server: &scenario::Server) -> Room {
+    match (server.line_per_s, server.capacity_per_s) {
         (Some(per_s), _) => {
             let longest = Duration::from_millis(server.line_ms);
             Room::Queue(Box::new(Queue::new(per_s, longest, server.cold, Instant::now())))
         }
         (None, Some(per_s)) => Room::bucket(per_s),
         (None, None) => Room::Unbounded,
-    };
-    StandIn::holding(server.mode, room, Duration::from_millis(server.hold_ms))
+    }
+}
+
+fn stand_in(server: &scenario::Server) -> std::io::Result<StandIn> {
+    StandIn::holding(server.mode, room_of(server), Duration::from_millis(server.hold_ms))
 }
 
 fn play_once(scenario: &Scenario, run: Run, program: &Path, out: &Path) -> Result<Figures, String> {
