Let attempts that wait for one budget go in one order, and wait no longer than once

Need: in a fleet with one budget for all call servers some calls failed at the end of their time (one of 180 at each instance of `tests/control`), having waited three times over.

Cause: whoever waited at one call server was overtaken at the other, from the same budget, until the module took its attempt for lost, called it off and placed it anew, with a fresh time to wait; and each look at one that waits was told as demand of a booking.

Change: an attempt remembers which budget it waits for, and stands before all that need it; a call's waiting is counted from its first. A look at one that waits is not counted.

--- a/src/engine/calls.rs
+++ b/src/engine/calls.rs
@@ -50,6 +50,8 @@
     pub(super) attempts: u32,
     /// Of these, the ones that the fleet limits and budgets let through.
     pub(super) weighed: u32,
+    /// An attempt of it began to wait for its budget then.
+    pub(super) held_from: Option<f64>,
     pub(super) attempt: Option<Attempt>,
     pub(super) guard_until: f64,
     pub(super) standing: Option<Standing>,
@@ -231,6 +233,7 @@
             answered: false,
             attempts: 0,
             weighed: 0,
+            held_from: None,
             attempt: None,
             guard_until: f64::NEG_INFINITY,
             standing: None,
@@ -367,7 +370,7 @@
         }
         match self.pay(id, server) {
             Paid::Now => {}
-            Paid::Later(_) => return,
+            Paid::Later(..) => return,
             Paid::No => return self.refuse_unpaid(id, server, out),
         }
         let Some(call) = self.calls.live.get_mut(&id) else { return };
--- a/src/engine/shares/held.rs
+++ b/src/engine/shares/held.rs
@@ -1,11 +1,11 @@
 //! Attempts that wait for their budget: a call of the dearest class that finds none left is not turned away at once but
 //! waits a moment for its turn, so that it is the cheap ones that are refused, and not whoever comes first.
 
-use super::super::calls::{Attempt, Stage};
+use super::super::calls::{Attempt, Call, Stage};
 use super::super::{Due, Effect, Engine, ToCaller};
 use super::{Parts, Payment};
 use crate::interface::{CallId, LoadReport, Outcome, ServerId};
-use crate::terms::Spending;
+use crate::terms::{BudgetId, Spending};
 
 /// The longest that an attempt waits for its budget, ms: of the dearest class, and of others.
 const HOLD_MS: f64 = 700.0;
@@ -19,6 +19,8 @@
     pub(super) call: CallId,
     pub(super) server: ServerId,
     pub(super) worth: f64,
+    /// The budget that was the scarcest; none: it waits for the call server to be pressed no more.
+    pub(super) budget: Option<BudgetId>,
     pub(super) until: f64,
 }
 
@@ -26,47 +28,66 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(in crate::engine) enum Paid {
     Now,
-    /// It waits for its turn, for so long at most, ms.
-    Later(f64),
+    /// It waits for its turn, for so long at most, ms, and for this budget.
+    Later(f64, Option<BudgetId>),
     No,
 }
 
 impl Parts {
     /// Pays for an attempt, or says whether it may wait; `room`: the call server is not pressed, or it is a first one.
-    pub(super) fn pay(&mut self, payment: &Payment, server: ServerId, room: bool, left_ms: f64) -> Paid {
+    /// `left_ms` is left of its caller's wait, and it has waited for `held_ms`.
+    pub(super) fn pay(
+        &mut self,
+        payment: &Payment,
+        server: ServerId,
+        room: bool,
+        (left_ms, held_ms): (f64, f64),
+    ) -> Paid {
         self.look();
-        if room && self.booked(payment) {
+        if room && self.booked(payment, true) {
             return Paid::Now;
         }
         // Nobody overtakes one that waits and is worth as much.
-        let before = self.held.iter().filter(|h| h.server == server && h.worth >= payment.worth).count();
+        let before = self.before(payment, server);
         let spare = self.spare(payment);
-        if room && spare >= 0.0 && (before == 0 || spare.is_infinite()) {
+        if room && spare.left >= 0.0 && (before == 0 || spare.scarcest.is_none()) {
             self.charge(payment, true);
             return Paid::Now;
         }
         // One that could not be paid within its time is told at once.
         let (rate, dearer) = self.rate(payment);
         let hold_ms = if dearer { HOLD_OTHERS_MS } else { HOLD_MS };
-        if (before as f64) < (rate * hold_ms / 1000.0).ceil() && left_ms >= LEFT_MS + LOOK_MS {
-            return Paid::Later(hold_ms.min(left_ms - LEFT_MS));
+        let wait_ms = (hold_ms - held_ms).min(left_ms - LEFT_MS);
+        if (before as f64) < (rate * hold_ms / 1000.0).ceil() && wait_ms >= LOOK_MS {
+            return Paid::Later(wait_ms, spare.scarcest.filter(|_| room));
         }
         self.pressed += u64::from(!room);
         self.charge(payment, false);
         Paid::No
     }
+
+    /// How many wait, at this call server or for a budget that this one needs, and are worth as much.
+    fn before(&self, payment: &Payment, server: ServerId) -> usize {
+        let later = self.any(&Spending::SecondAttempts);
+        let needs = |id: BudgetId| self.budgets.iter().any(|b| b.id == id && payment.ordinary(b, later));
+        let meets = |h: &&Held| h.server == server || h.budget.is_some_and(needs);
+        self.held.iter().filter(meets).filter(|h| h.worth >= payment.worth).count()
+    }
 }
 
 impl Engine {
     /// Pays for an attempt; one that is to wait is kept.
     pub(in crate::engine) fn pay(&mut self, id: CallId, server: ServerId) -> Paid {
-        let left_ms = self.calls.live.get(&id).map_or(0.0, |call| call.deadline - self.now);
-        let pay = |shares: &mut Parts, payment: &Payment, room| shares.pay(payment, server, room, left_ms);
+        let now = self.now;
+        let times = |call: &Call| (call.deadline - now, call.held_from.map_or(0.0, |from| now - from));
+        let times = self.calls.live.get(&id).map_or((0.0, 0.0), times);
+        let pay = |shares: &mut Parts, payment: &Payment, room| shares.pay(payment, server, room, times);
         let Some(paid) = self.with_payment(id, server, pay) else { return Paid::Now };
-        if let (Paid::Later(hold_ms), Some(call)) = (paid, self.calls.live.get_mut(&id)) {
+        if let (Paid::Later(wait_ms, budget), Some(call)) = (paid, self.calls.live.get_mut(&id)) {
             call.attempt =
                 Some(Attempt { number: call.attempts, server, sent_at: self.now, stage: Stage::Unpaid });
             call.attempts += 1;
+            call.held_from = call.held_from.or(Some(now));
             let worth = self.worths.get(call.class).copied().unwrap_or_default();
             let Some(shares) = self.shares.as_mut() else { return paid };
             if shares.held.is_empty() {
@@ -74,7 +95,7 @@
             }
             // The dearest first, and in the order of their coming.
             let at = shares.held.partition_point(|h| h.worth >= worth);
-            shares.held.insert(at, Held { call: id, server, worth, until: self.now + hold_ms });
+            shares.held.insert(at, Held { call: id, server, worth, budget, until: now + wait_ms });
         }
         paid
     }
@@ -117,7 +138,10 @@
             }
             let over = self.now >= until;
             let paid = self.with_payment(id, server, |shares, payment, room| {
-                let pays = room && (shares.booked(payment) || shares.spare(payment) >= 0.0);
+                if room && shares.booked(payment, false) {
+                    return true;
+                }
+                let pays = room && shares.spare(payment).left >= 0.0;
                 if pays || over {
                     shares.charge(payment, pays);
                     shares.pressed += u64::from(!room);
@@ -170,14 +194,16 @@
         });
         let mut best = (first_choice, f64::NEG_INFINITY);
         for (_, s) in ready {
-            let spare = shares.spare(&Payment {
-                spending: Spending::SetUps,
-                server: &s.listing.name,
-                site: s.listing.zone.as_deref(),
-                class: rules.map(|c| c.name.as_str()),
-                number,
-                worth: self.worths.get(class).copied().unwrap_or_default(),
-            });
+            let spare = shares
+                .spare(&Payment {
+                    spending: Spending::SetUps,
+                    server: &s.listing.name,
+                    site: s.listing.zone.as_deref(),
+                    class: rules.map(|c| c.name.as_str()),
+                    number,
+                    worth: self.worths.get(class).copied().unwrap_or_default(),
+                })
+                .left;
             if spare >= 0.0 && Some(s.listing.place) == first_choice {
                 return first_choice;
             }
--- a/src/engine/shares/payment.rs
+++ b/src/engine/shares/payment.rs
@@ -39,32 +39,44 @@
                 .is_none_or(|prefix| self.number.is_some_and(|number| number.starts_with(prefix)))
     }
 
-    fn ordinary(&self, budget: &Budget, later: bool) -> bool {
+    pub(super) fn ordinary(&self, budget: &Budget, later: bool) -> bool {
         budget.id.0 < BudgetId::BOOKED && self.falls_under(budget, later)
     }
 }
 
+/// What is left to pay with.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Spare {
+    /// Of the scarcest budget, beyond one and beyond what is kept for dearer calls: from 0 on it can be paid. Without a
+    /// budget, infinite.
+    pub left: f64,
+    pub scarcest: Option<BudgetId>,
+}
+
 impl Parts {
     /// Whether every budget that this falls under has one left; only then is it taken from each. What is asked is told
     /// to the control plane either way.
     pub(in crate::engine) fn pays(&mut self, payment: &Payment) -> bool {
         self.look();
-        if self.booked(payment) {
+        if self.booked(payment, true) {
             return true;
         }
-        let pays = self.spare(payment) >= 0.0;
+        let pays = self.spare(payment).left >= 0.0;
         self.charge(payment, pays);
         pays
     }
 
-    /// What is booked for a job is its own; beyond that its set-ups compete as others do.
-    pub(super) fn booked(&mut self, payment: &Payment) -> bool {
+    /// What is booked for a job is its own; beyond that its set-ups compete as others do. `told`: if it has none left, that
+    /// is counted, as one that waits is asked about many times.
+    pub(super) fn booked(&mut self, payment: &Payment, told: bool) -> bool {
         let (now, budgets) = (self.now, self.budgets.clone());
         for (budget, (spent, refused)) in budgets.iter().zip(&mut self.counts) {
             if budget.id.0 >= BudgetId::BOOKED && payment.falls_under(budget, false) {
                 let paid = self.purse.spend(now, budget.id);
-                *(if paid { &mut *spent } else { &mut *refused }) += 1;
-                self.exchange.asked(budget.id, payment.worth, paid);
+                if paid || told {
+                    *(if paid { &mut *spent } else { &mut *refused }) += 1;
+                    self.exchange.asked(budget.id, payment.worth, paid);
+                }
                 if paid {
                     return true;
                 }
@@ -73,12 +85,11 @@
         false
     }
 
-    /// What the scarcest of the budgets that this falls under has beyond one, and beyond what is kept for dearer calls:
-    /// from 0 on it can be paid. Without a budget, infinite.
-    pub(super) fn spare(&mut self, payment: &Payment) -> f64 {
+    /// What the budgets that this falls under have left.
+    pub(super) fn spare(&mut self, payment: &Payment) -> Spare {
         let (now, budgets) = (self.now, self.budgets.clone());
         let later = self.any(&Spending::SecondAttempts);
-        let mut spare = f64::INFINITY;
+        let mut spare = Spare { left: f64::INFINITY, scarcest: None };
         for (budget, dearest) in budgets.iter().zip(&mut self.dearest) {
             if payment.ordinary(budget, later) {
                 if payment.worth >= dearest.0 || now - dearest.1 > DEAR_MS {
@@ -86,7 +97,10 @@
                 }
                 let room = self.purse.room(now, budget.id).1;
                 let kept = if payment.worth < dearest.0 { KEPT * (room - 1.0).max(0.0) } else { 0.0 };
-                spare = spare.min(self.purse.level(now, budget.id) - 1.0 - kept);
+                let left = self.purse.level(now, budget.id) - 1.0 - kept;
+                if left < spare.left {
+                    spare = Spare { left, scarcest: Some(budget.id) };
+                }
             }
         }
         spare
