Refuse later attempts at a pressed call server at once: waiting there keeps it pressed

Cause: a later attempt that found its call server pressed waited for it to be so no more; to the module it was out there, a line of up to 0.7 s, so the call server counted as pressed for all that came, and they waited as well.

Change: only what lacks budget waits; at a pressed call server a later attempt is refused at once, as before budgets held any.

--- a/src/engine/shares/held.rs
+++ b/src/engine/shares/held.rs
@@ -19,7 +19,7 @@
     pub(super) call: CallId,
     pub(super) server: ServerId,
     pub(super) worth: f64,
-    /// The budget that was the scarcest; none: it waits for the call server to be pressed no more.
+    /// The budget that was the scarcest.
     pub(super) budget: Option<BudgetId>,
     pub(super) until: f64,
 }
@@ -54,12 +54,13 @@
             self.charge(payment, true);
             return Paid::Now;
         }
-        // One that could not be paid within its time is told at once.
+        // One that could not be paid within its time is told at once; and so is one that finds the call server pressed: to the
+        // module what waits here is that server's line, so it would stay pressed by those that wait for it not to be.
         let (rate, dearer) = self.rate(payment);
         let hold_ms = if dearer { HOLD_OTHERS_MS } else { HOLD_MS };
         let wait_ms = (hold_ms - held_ms).min(left_ms - LEFT_MS);
-        if (before as f64) < (rate * hold_ms / 1000.0).ceil() && wait_ms >= LOOK_MS {
-            return Paid::Later(wait_ms, spare.scarcest.filter(|_| room));
+        if room && (before as f64) < (rate * hold_ms / 1000.0).ceil() && wait_ms >= LOOK_MS {
+            return Paid::Later(wait_ms, spare.scarcest);
         }
         self.pressed += u64::from(!room);
         self.charge(payment, false);
--- a/src/engine/shares/tests.rs
+++ b/src/engine/shares/tests.rs
@@ -169,6 +169,12 @@
     };
     assert_eq!(wait(&mut p, 100.0), Paid::Later(150.0, ID), "placed anew it waits on, not afresh");
     assert_eq!(wait(&mut p, 245.0), Paid::No);
+    let later = Payment { spending: Spending::SecondAttempts, worth: 3.0, ..set_up("s-b", "voice") };
+    assert_eq!(
+        p.pay(&later, ServerId(1), false, (2000.0, 0.0)),
+        Paid::No,
+        "a pressed call server is not waited for"
+    );
 }
 
 #[test]
