--- a/src/policy.rs
+++ b/src/policy.rs
@@ -743,13 +743,8 @@
         let other = |id: ServerId| live.faulted != Some(id);
         let elsewhere = self.servers.iter().any(|(&id, s)| other(id) && open(id, s));
         let open = self.servers.iter().filter(|&(&id, s)| open(id, s) && (other(id) || !elsewhere));
-        let lines = open.map(|(&id, s)| (id, s, self.backlog_ms(now, s, first(s))));
-        // Nor into a line that its caller won't outlast, with the answer in it once more: all work in vain.
-        let left = live.deadline - now - MARGIN_MS - self.quickest_ms();
-        let allowed = lines
-            .filter(|&(_, _, line)| 2.0 * line <= left)
-            .map(|(id, s, line)| (id, s, self.refused_share(now, s, signs, line)))
-            .filter(|a| a.2 <= live.rank);
+        let refused = |s: &Server| self.refused_share(now, s, signs, self.backlog_ms(now, s, first(s)));
+        let allowed = open.map(|(&id, s)| (id, s, refused(s))).filter(|a| a.2 <= live.rank);
         // Between equals each call draws lots by size: the lowest id would be every sender's choice.
         let lot = |id: ServerId, s: &Server| -(1.0 - lot(live.draw.to_bits(), id)).ln() / s.size;
         let preference = |id: ServerId, s: &Server, refused: f64| match refused <= live.draw {
