Host the gathered jobs: counts to the grantor, cuts to all, the rest of the window back

Need: src/gather decided job deadlines but nothing ran it; a booked job waited for its last straggler and kept its part to the end of the window. Change: a booking may say how many set-ups it expects; every instance counts them (gather::Board), tells totals to the grantor each round, and takes the grantor's word, fenced by epoch, that a job is cut or whole: open and later set-ups are refused with when to come back, the rest of the window goes back (Input::Finished). Checked: reducer tests over four control planes with loss, doubling, delay, a crashed grantor, a member that restarts, one that lies and one that was deposed.

--- a/src/control/bookings.rs
+++ b/src/control/bookings.rs
@@ -4,12 +4,12 @@
 //! Instances learn of a change at different times. So each first takes the lesser of a budget's old and new whole, and
 //! the new one only a lease later: at no time do two hold parts of the same capacity under two names.
 
-use crate::reservations::{Input, Message, Output, Reservations, Settings};
+use crate::reservations::{Input, JobWindow, Message, Output, Reservations, Settings};
 use crate::terms::{Budget, Member, Spending};
 
 /// What comes of a step: messages, the budgets that are in force now if they changed, and lines for the log.
 pub(super) enum Outcome {
-    Send { to: Member, message: Message },
+    Send { to: Member, message: Box<Message> },
     Budgets(Vec<Budget>),
     Append(Vec<u8>),
     Replace(Vec<u8>),
@@ -72,6 +72,11 @@
         self.reservations.restore(bytes)
     }
 
+    /// The windows of gathered jobs that run now.
+    pub(super) fn windows(&self) -> Vec<JobWindow> {
+        self.reservations.windows()
+    }
+
     pub(super) fn next_due(&self) -> f64 {
         self.reservations.next_due().min(self.next.as_ref().map_or(f64::INFINITY, |(at, _)| *at))
     }
@@ -81,7 +86,9 @@
         self.reservations.step(now, unix_ms, input, &mut outputs);
         for output in outputs.drain(..) {
             match output {
-                Output::Send { to, message } => out.push(Outcome::Send { to, message }),
+                Output::Send { to, message } => {
+                    out.push(Outcome::Send { to, message: Box::new(message) });
+                }
                 Output::Budgets(booked) => {
                     let new = wholes(&self.operators, &booked);
                     self.put(lesser(&self.in_force, &new), out);
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -8,20 +8,26 @@
 
 mod bookings;
 mod demand;
+mod jobs;
+#[cfg(test)]
+mod jobs_tests;
 mod rounds;
 pub mod settings;
 #[cfg(test)]
 mod tests;
 pub mod wire;
 
+pub use jobs::{JobFigures, ResultFigures};
 pub use rounds::RoundFigures;
 pub use settings::ControlSettings;
 
+use crate::gather::{Count, Posted};
 use crate::reservations;
 use crate::shares::{Input, Message, Output, ShareSettings, Shares};
 use crate::terms::{Budget, Demand, Epoch, Member, Part};
 use bookings::{Bookings, Outcome};
 use demand::Demands;
+use jobs::{Did, Hosted};
 use rounds::Rounds;
 use serde::{Deserialize, Serialize};
 use wire::{Dropped, Envelope};
@@ -31,6 +37,7 @@
 enum Body {
     Shares(Message),
     Reservations(reservations::Message),
+    Jobs(jobs::Message),
 }
 
 /// Who this process is in its fleet.
@@ -51,6 +58,8 @@
     Datagram { from: Member, bytes: Vec<u8> },
     /// This instance's own demand over the last round.
     Demand(Vec<Demand>),
+    /// This instance's counts of the jobs last posted, each round.
+    Jobs(Vec<Count>),
     /// The process is to stop: what it holds goes back.
     Leave,
     /// [`Control::next_due`] has come.
@@ -71,6 +80,8 @@
     Replace(Vec<u8>),
     /// This instance's own parts, all of them.
     Parts(Vec<Part>),
+    /// How the gathered jobs stand, all of them.
+    Jobs(Vec<Posted>),
     /// This instance grants from now on, under this epoch, or no longer.
     Mastership(Option<Epoch>),
     /// For the log.
@@ -78,7 +89,7 @@
 }
 
 /// What operators are shown of the control plane.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct ControlFigures {
     /// The grantor that is known of, and its epoch.
     pub master: Option<(Member, Epoch)>,
@@ -90,6 +101,8 @@
     pub too_long: u64,
     /// The rounds that this instance opened as grantor.
     pub rounds: RoundFigures,
+    /// Where jobs are gathered.
+    pub jobs: Option<JobFigures>,
 }
 
 pub struct Control {
@@ -97,6 +110,9 @@
     demands: Demands,
     rounds: Rounds,
     bookings: Option<Bookings>,
+    jobs: Option<Hosted>,
+    /// Those about in the round that was just opened here.
+    asked: Option<Vec<Member>>,
     outcomes: Vec<Outcome>,
     envelope: Envelope,
     outputs: Vec<Output>,
@@ -119,6 +135,10 @@
             Bookings::new(reservations, place.me, whole, shares.budgets.clone(), settings.lease_ms)
         });
         let gather = settings.gather.clone().unwrap_or_default();
+        let jobs = gather.jobs.filter(|_| bookings.is_some()).map(|jobs| {
+            let Place { me, members, incarnation, seed } = *place;
+            Hosted::new(jobs, me, members, incarnation, seed, settings.lease_ms)
+        });
         let rounds = Rounds::new(gather.rounds.unwrap_or_else(crate::gather::Settings::rounds), place.seed);
         let key = settings.key.as_ref().map(|key| key.0.as_slice());
         Ok(Control {
@@ -126,6 +146,8 @@
             demands,
             rounds,
             bookings,
+            jobs,
+            asked: None,
             outcomes: Vec::new(),
             envelope: Envelope::new(place.me, place.incarnation, key, settings.lease_ms),
             outputs: Vec::new(),
@@ -137,13 +159,16 @@
     /// When [`Event::Tick`] is due next, ms.
     #[must_use]
     pub fn next_due(&self) -> f64 {
-        self.shares.next_due().min(self.bookings.as_ref().map_or(f64::INFINITY, Bookings::next_due))
+        let bookings = self.bookings.as_ref().map_or(f64::INFINITY, Bookings::next_due);
+        let jobs = self.jobs.as_ref().map_or(f64::INFINITY, Hosted::next_due);
+        self.shares.next_due().min(bookings).min(jobs)
     }
 
     #[must_use]
     pub fn figures(&self) -> ControlFigures {
         let (master, dropped) = (self.shares.master(), self.envelope.dropped());
-        ControlFigures { master, dropped, rounds: self.rounds.figures(), ..self.figures }
+        let jobs = self.jobs.as_ref().map(Hosted::figures);
+        ControlFigures { master, dropped, rounds: self.rounds.figures(), jobs, ..self.figures.clone() }
     }
 
     /// What the bookings' file held at the start.
@@ -156,7 +181,7 @@
 
     /// Takes one event at `now`, which never goes back, and `unix_ms`, which may.
     pub fn step(&mut self, now: f64, unix_ms: u64, event: Event, out: &mut Vec<Effect>) {
-        let mut booked = None;
+        let (mut booked, mut told, mut counted) = (None, None, None);
         let input = match event {
             Event::Datagram { from, bytes } => {
                 let Some((from, body)) = self.envelope.open(now, Some(from), &bytes) else {
@@ -169,9 +194,17 @@
                         booked = Some(reservations::Input::Received { from, message });
                         Input::Tick
                     }
+                    Body::Jobs(message) => {
+                        told = Some((from, message));
+                        Input::Tick
+                    }
                 }
             }
             Event::Demand(demand) => Input::Demand(self.demands.told(demand)),
+            Event::Jobs(counts) => {
+                counted = Some(counts);
+                Input::Tick
+            }
             Event::Leave => Input::Leave,
             Event::Tick => Input::Tick,
         };
@@ -186,6 +219,39 @@
         if let Some(input) = booked.or(due.then_some(reservations::Input::Tick)) {
             self.book(now, unix_ms, input, out);
         }
+        self.host_jobs((now, unix_ms), told, counted, out);
+    }
+
+    fn host_jobs(
+        &mut self,
+        (now, unix_ms): (f64, u64),
+        told: Option<(Member, jobs::Message)>,
+        counted: Option<Vec<Count>>,
+        out: &mut Vec<Effect>,
+    ) {
+        let (Some(hosted), Some(bookings)) = (self.jobs.as_mut(), self.bookings.as_ref()) else { return };
+        let (shares, mut did) = (&self.shares, Vec::new());
+        if let Some((from, message)) = told {
+            hosted.heard(now, from, &message, shares.master(), &mut did);
+        }
+        if let Some(counts) = counted {
+            hosted.windows(now, bookings.windows(), &mut did);
+            hosted.counted(now, shares.master().map(|(member, _)| member), &counts, &mut did);
+        }
+        if let Some(present) = self.asked.take() {
+            hosted.round(now, present, |budget| shares.divided(budget), &mut did);
+        }
+        hosted.tick(now, &mut did);
+        for did in did {
+            match did {
+                Did::Send { to, message } => self.send(to, &Body::Jobs(message), out),
+                Did::Finished(booking) => {
+                    self.book(now, unix_ms, reservations::Input::Finished { booking }, out);
+                }
+                Did::Post(posted) => out.push(Effect::Jobs(posted)),
+                Did::Note(text) => out.push(Effect::Note(text)),
+            }
+        }
     }
 
     fn send(&mut self, to: Member, body: &Body, out: &mut Vec<Effect>) {
@@ -207,7 +273,7 @@
         bookings.step(now, unix_ms, input, &mut outcomes);
         for outcome in outcomes.drain(..) {
             match outcome {
-                Outcome::Send { to, message } => self.send(to, &Body::Reservations(message), out),
+                Outcome::Send { to, message } => self.send(to, &Body::Reservations(*message), out),
                 Outcome::Budgets(budgets) => {
                     out.push(Effect::Budgets(budgets.clone()));
                     let mut outputs = Vec::new();
@@ -228,6 +294,9 @@
             Output::Parts(parts) => out.push(Effect::Parts(parts)),
             Output::Mastership(epoch) => {
                 out.push(Effect::Mastership(epoch));
+                if let Some(jobs) = &mut self.jobs {
+                    jobs.mastership(now, epoch);
+                }
                 self.book(now, unix_ms, reservations::Input::Mastership(epoch), out);
             }
             Output::Note(text) => out.push(Effect::Note(text)),
@@ -235,6 +304,7 @@
                 let deadline = self.rounds.opened(at, epoch.0, round, &expected);
                 self.shares.set_round_deadline(deadline);
                 self.opened_at = at;
+                self.asked = Some(expected);
             }
             Output::RoundClosed { epoch, round, arrivals, .. } => {
                 for (member, after_ms) in arrivals {
--- a/src/engine/answers.rs
+++ b/src/engine/answers.rs
@@ -38,6 +38,7 @@
         (call.description, call.number) = (String::new(), None);
         let (caller, class) = (call.conn, call.class);
         self.count(class, |o| &mut o.stood);
+        self.job_set_up_over(id, true);
         self.decided(id, out, || Decision::Answered { server: self.fleet.name(server).to_owned() });
         out.push(Effect::ToCaller { conn: caller, message: ToCaller::Answer { call: id, description } });
         let after_ms = self.now - attempt.sent_at;
--- a/src/engine/calls.rs
+++ b/src/engine/calls.rs
@@ -197,7 +197,9 @@
             self.close_if_done(conn, out);
             return Ok(());
         }
-        let first_choice = match self.plan_call(class, set_up.first_choice) {
+        let away = self.job_refuses(class, set_up.number.as_deref());
+        let planned = away.map_or_else(|| self.plan_call(class, set_up.first_choice), Err);
+        let first_choice = match planned {
             Ok(place) => place,
             Err(stay_away_ms) => {
                 self.count(class, |o| &mut o.refused);
@@ -233,6 +235,7 @@
             guard_until: f64::NEG_INFINITY,
             standing: None,
         };
+        self.job_takes(id, class, call.number.as_deref());
         self.calls.live.insert(id, call);
         self.brought_call(conn, out);
         Ok(())
@@ -275,6 +278,7 @@
         let Some(call) = self.calls.live.get_mut(&id) else { return };
         call.answered = true;
         let conn = call.conn;
+        self.job_set_up_over(id, false);
         self.decided(id, out, || Decision::GivenUp);
         self.news.push_back(module::Event::CallerLeft(id));
         self.end_out(id, Outcome::Cancelled, out);
@@ -291,6 +295,7 @@
         };
         call.answered = true;
         let (conn, class) = (call.conn, call.class);
+        self.job_set_up_over(id, true);
         let refused = matches!(message, ToCaller::Refused { .. });
         self.decided(id, out, || match message {
             ToCaller::Refused { stay_away_ms, .. } => Decision::Refused { stay_away_ms: stay_away_ms as u32 },
@@ -346,6 +351,10 @@
             call.attempts += 1;
             return self.tell_ended(id, server, Outcome::NotConnected, false, LoadReport::default());
         }
+        if let Some(stay_away_ms) = self.job_refuses_at(id, server) {
+            return self.refuse_unsent(id, server, stay_away_ms, out);
+        }
+        let Some(call) = self.calls.live.get_mut(&id) else { return };
         let worth = self.worths.get(call.class).copied().unwrap_or_default();
         let first = call.weighed == 0;
         if let Some(limits) = self.limits.as_mut() {
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -8,6 +8,7 @@
 mod callers;
 mod calls;
 mod fleet;
+mod jobs;
 mod liveness;
 mod messages;
 mod operators;
@@ -93,6 +94,8 @@
     sites_turn: Option<f64>,
     /// This instance's parts of the fleet's budgets, where the operator's file has some.
     shares: Option<shares::Parts>,
+    /// The booked jobs that are gathered, where the operator's file says how.
+    jobs: Option<jobs::Jobs>,
     callers: Callers,
     calls: Calls,
     fleet: Fleet,
@@ -135,6 +138,7 @@
             probes: Probes::default(),
             sites_turn: None,
             shares: None,
+            jobs: None,
             controller: Controller::new(settings, seed, now),
             host,
             callers: Callers::default(),
@@ -188,6 +192,7 @@
     pub fn step(&mut self, now: f64, event: Event, out: &mut Vec<Effect>) {
         // The system's clock may be set back under a running program; the module's never is.
         self.now = self.now.max(now);
+        self.look_at_jobs(out);
         match event {
             Event::CallerOpened(conn) => self.caller_opened(conn, out),
             Event::Caller { conn, read_at, message } => self.hear_caller(conn, read_at, message, out),
--- a/src/engine/shares.rs
+++ b/src/engine/shares.rs
@@ -202,6 +202,7 @@
         if let Some(shares) = self.shares.as_mut() {
             shares.now = shares.now.max(now);
         }
+        self.jobs_now(now);
     }
 
     /// Whether this call server may be dialled now. One that is down is dialled only if it is paid for; else it is asked
--- a/src/gather/jobs.rs
+++ b/src/gather/jobs.rs
@@ -29,10 +29,12 @@
 /// What happens to occurrences.
 #[derive(Clone, Debug, PartialEq)]
 pub enum JobEvent {
-    /// Its window opens. `expected`: set-ups in all; `ends_at`: the window's end, ms on the host's clock.
-    /// One that is known already is left as it is.
+    /// It begins. `expected`: set-ups in all; `ends_at`: its window's end, ms on the host's clock.
+    /// One that is known already is left as it is. `since`: it began then under another host, whose times of
+    /// answers are not known, so nothing is learned from it; none: now.
     Starts {
         occurrence: Occurrence,
+        since: Option<f64>,
         budget: BudgetId,
         class: String,
         site: Option<String>,
@@ -84,6 +86,10 @@
     pub why: Why,
 }
 
+/// Callers find their way to the members by chance: a member's part is what the division says and so many standard
+/// deviations of that chance, or most jobs could never be whole.
+const SLACK: f64 = 2.0;
+
 struct Job {
     budget: BudgetId,
     phase: JobPhase,
@@ -102,20 +108,24 @@
 impl Jobs {
     /// From checked settings; the seed draws which jobs wait longer on purpose.
     pub fn new(settings: Settings, seed: u64) -> Self {
-        Jobs { gathers: Gathers::new(settings, seed), jobs: BTreeMap::new() }
+        Jobs { gathers: Gathers::new(settings, seed).with_slack(SLACK), jobs: BTreeMap::new() }
     }
 
     /// Takes one event; whatever is due by `now` happens after it.
     pub fn step(&mut self, now: f64, event: JobEvent, effects: &mut Vec<JobEffect>) {
         match event {
-            JobEvent::Starts { occurrence, budget, class, site, expected, members, ends_at } => {
+            JobEvent::Starts { occurrence, since, budget, class, site, expected, members, ends_at } => {
                 if self.jobs.contains_key(&occurrence) {
                     return;
                 }
                 let open = BTreeMap::new();
                 let job = Job { budget, phase: JobPhase::Running, ends_at, given_back: false, open };
                 self.jobs.insert(occurrence, job);
-                self.gathers.open(now, gather(occurrence), Key::Job { class, site }, expected, &members);
+                let (id, key) = (gather(occurrence), Key::Job { class, site });
+                self.gathers.open(since.map_or(now, |at| at.min(now)), id, key, expected, &members);
+                if since.is_some() {
+                    self.gathers.unlearned(id);
+                }
             }
             JobEvent::Divided { occurrence, weights } => self.gathers.allot(gather(occurrence), &weights),
             JobEvent::Counts { occurrence, member, done, open } => {
--- a/src/gather/mod.rs
+++ b/src/gather/mod.rs
@@ -3,8 +3,10 @@
 //! A *gather* is work scattered to many members whose joint result is useful before it is whole: a job of a
 //! booking, or a round of the control plane. [`Gathers`] learns for each [`Key`] when answers come, and closes a
 //! gather when waiting for the rest costs more than it brings; [`Jobs`] hosts it for the booked occurrences. A
-//! decision module: no I/O, no clock, no thread; times are milliseconds on the host's monotonic clock.
+//! decision module: no I/O, no clock, no thread; times are milliseconds on the host's monotonic clock. [`Board`] lies
+//! between the control thread, where jobs are decided, and the traffic thread, where their set-ups are counted.
 
+mod board;
 mod decide;
 mod grid;
 mod jobs;
@@ -16,6 +18,7 @@
 mod tests;
 mod worth;
 
+pub use board::{Board, Count, Job, Posted, Refused, Stand, Tally};
 pub use jobs::{JobEffect, JobEvent, JobPhase, Jobs, Occurrence, Report};
 pub use settings::{GatherSettings, Prior, Settings};
 
@@ -138,6 +141,7 @@
     worth: Worth,
     grid: Grid,
     prior: Belief,
+    slack: f64,
     rng: fastrand::Rng,
     open: BTreeMap<GatherId, Open>,
     known: BTreeMap<Key, Known>,
@@ -152,16 +156,23 @@
             prior: Belief::of_prior(&settings.prior, &grid),
             grid,
             settings,
+            slack: 0.0,
             rng: fastrand::Rng::with_seed(seed),
             open: BTreeMap::new(),
             known: BTreeMap::new(),
         }
     }
 
+    /// A member's part may be exceeded by so many square roots of it. Without this by none.
+    #[must_use]
+    pub fn with_slack(self, slack: f64) -> Self {
+        Gathers { slack, ..self }
+    }
+
     /// Opens a gather that expects so many answers, in even parts from these members. A gather already open
     /// under the id is dropped unlearned. Returns the planned deadline, ms on the host's clock.
     pub fn open(&mut self, now: f64, id: GatherId, key: Key, expected: u32, members: &[Member]) -> f64 {
-        let mut open = Open::new(now, key, expected, members);
+        let mut open = Open::new(now, key, expected, members, self.slack);
         self.know(now, &open.key);
         if let Some(known) = self.known.get_mut(&open.key) {
             let standing = Standing { at_ms: 0.0, expected, arrived: 0, out: expected };
@@ -181,7 +192,14 @@
     /// what was given up is expected from those named.
     pub fn allot(&mut self, id: GatherId, weights: &[(Member, f64)]) {
         if let Some(open) = self.open.get_mut(&id) {
-            open.allot(weights.iter().copied());
+            open.allot(weights.iter().copied(), self.slack);
+        }
+    }
+
+    /// Nothing is learned from this one.
+    pub fn unlearned(&mut self, id: GatherId) {
+        if let Some(open) = self.open.get_mut(&id) {
+            open.learned = false;
         }
     }
 
@@ -349,7 +367,9 @@
                 given_back = (look.spent - cost).max(0.0);
             }
             known.learner.earn(given_back, worth, &self.settings, &self.worth);
-            known.learner.learn(open.seen(waited_ms, &self.grid), &self.prior, &self.settings);
+            if open.learned {
+                known.learner.learn(open.seen(waited_ms, &self.grid), &self.prior, &self.settings);
+            }
         }
         Some(Closed {
             id,
--- a/src/gather/open.rs
+++ b/src/gather/open.rs
@@ -15,6 +15,8 @@
 /// A member's part.
 #[derive(Clone, Copy, Default)]
 struct Part {
+    /// What the division gives it, and with its slack.
+    fair: u32,
     most: u32,
     came: u32,
     gone: bool,
@@ -39,6 +41,7 @@
     /// To wait longer once it is due.
     pub explore: bool,
     pub look: Option<Look>,
+    pub learned: bool,
     /// Nothing more can come: since when, and why.
     pub over: Option<(f64, Why)>,
     parts: BTreeMap<Member, Part>,
@@ -50,7 +53,7 @@
 }
 
 impl Open {
-    pub fn new(now: f64, key: Key, expected: u32, members: &[Member]) -> Self {
+    pub fn new(now: f64, key: Key, expected: u32, members: &[Member], slack: f64) -> Self {
         let mut open = Open {
             key,
             opened_at: now,
@@ -59,6 +62,7 @@
             due_ms: 0.0,
             explore: false,
             look: None,
+            learned: true,
             over: (expected == 0 || members.is_empty()).then_some((0.0, Why::GivenUp)),
             parts: BTreeMap::new(),
             came: vec![0; BINS],
@@ -67,25 +71,28 @@
             lost: 0,
             decided_at: 0,
         };
-        open.allot(members.iter().map(|&m| (m, 1.0)));
+        open.allot(members.iter().map(|&m| (m, 1.0)), slack);
         open
     }
 
     /// Divides what is expected among the members by weight; nobody's part falls below what came from it. What
-    /// was given up with a member that left is expected from the others again.
-    pub fn allot(&mut self, weights: impl Iterator<Item = (Member, f64)> + Clone) {
+    /// was given up with a member that left is expected from the others again. A part may be exceeded by `slack`
+    /// square roots of it.
+    pub fn allot(&mut self, weights: impl Iterator<Item = (Member, f64)> + Clone, slack: f64) {
         let weight = |w: f64| if w.is_finite() { w.max(0.0) } else { 0.0 };
         let all = weights.clone().map(|(_, w)| weight(w)).sum::<f64>();
         if all <= 0.0 {
             return;
         }
         for part in self.parts.values_mut() {
-            part.most = part.came;
+            (part.fair, part.most) = (part.came, part.came);
         }
         for (member, w) in weights {
             let part = self.parts.entry(member).or_default();
             part.gone = false;
-            part.most = part.came.max((f64::from(self.expected) * weight(w) / all - 1e-6).ceil() as u32);
+            let fair = f64::from(self.expected) * weight(w) / all;
+            part.fair = part.came.max((fair - 1e-6).ceil() as u32);
+            part.most = part.came.max((fair + slack * fair.sqrt() - 1e-6).ceil() as u32);
         }
         if self.over.is_none() {
             self.lost = 0;
@@ -113,7 +120,7 @@
     pub fn give_up(&mut self, now: f64, member: Member) -> bool {
         let Some(part) = self.parts.get_mut(&member).filter(|p| !p.gone) else { return false };
         part.gone = true;
-        let left = (part.most - part.came).min(self.expected - self.arrived - self.lost);
+        let left = part.fair.saturating_sub(part.came).min(self.expected - self.arrived - self.lost);
         self.lost += left;
         let at = now - self.opened_at;
         self.given_up.push((at, left));
--- a/src/gather/tests.rs
+++ b/src/gather/tests.rs
@@ -246,6 +246,7 @@
 fn starts(occurrence: u64, ends_at: f64) -> JobEvent {
     JobEvent::Starts {
         occurrence: Occurrence(occurrence),
+        since: None,
         budget: BudgetId(BudgetId::BOOKED),
         class: "batch".into(),
         site: None,
--- a/src/net/control.rs
+++ b/src/net/control.rs
@@ -5,6 +5,7 @@
 use super::peers::Sender;
 use crate::control::{Control, ControlFigures, ControlSettings, Effect, Event, Place, floor_of};
 use crate::engine::Engine;
+use crate::gather::Board;
 use crate::shares::Exchange;
 use crate::terms::{Budget, Member, Part};
 use std::fs::OpenOptions;
@@ -68,6 +69,7 @@
     place: Place,
     clock: Monotonic,
     exchange: Arc<Exchange>,
+    board: Arc<Board>,
     queue: (SyncSender<Datagram>, Receiver<Datagram>),
 }
 
@@ -93,7 +95,7 @@
     /// As they were at most a round ago.
     #[must_use]
     pub fn figures(&self) -> ControlFigures {
-        *self.figures.lock().unwrap_or_else(PoisonError::into_inner)
+        self.figures.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 }
 
@@ -107,13 +109,16 @@
         // Checks what the division asks of its settings.
         Control::new(&settings, &place, clock.now())?;
         let exchange = Arc::new(Exchange::new(&settings.budgets()));
-        Ok(Ready { settings, place, clock, exchange, queue: sync_channel(QUEUE) })
+        let (board, queue) = (Arc::default(), sync_channel(QUEUE));
+        Ok(Ready { settings, place, clock, exchange, board, queue })
     }
 
     /// Lets the traffic side spend what will be decided.
     #[must_use]
     pub fn turn_on(&self, engine: Engine, seed: u64) -> Engine {
-        engine.with_shares(self.exchange.clone(), self.place.members, seed, self.clock.now())
+        let now = self.clock.now();
+        let engine = engine.with_shares(self.exchange.clone(), self.place.members, seed, now);
+        engine.with_jobs(self.board.clone(), seed, now)
     }
 
     /// Where the socket puts control datagrams, with the sender's place.
@@ -163,6 +168,7 @@
     round_ms: f64,
     clock: Monotonic,
     exchange: Arc<Exchange>,
+    board: Arc<Board>,
     sender: Sender,
     heard: Receiver<Datagram>,
     leaving: Arc<AtomicBool>,
@@ -181,7 +187,7 @@
         leaving: Arc<AtomicBool>,
         figures: Arc<Mutex<ControlFigures>>,
     ) -> Result<Self, String> {
-        let Ready { settings, place, clock, exchange, queue } = ready;
+        let Ready { settings, place, clock, exchange, board, queue } = ready;
         let folder = settings.reservations.as_ref().and_then(|r| r.folder.as_deref());
         let file = folder.map(|folder| folder.join(BOOKINGS));
         let now = clock.now();
@@ -206,6 +212,7 @@
             round_ms: settings.round_ms,
             clock,
             exchange,
+            board,
             sender,
             heard: queue.1,
             leaving,
@@ -245,7 +252,12 @@
             self.demand_read = now;
             let (demand, _) = self.exchange.demands(elapsed);
             self.step(Event::Demand(demand));
-            *self.figures.lock().unwrap_or_else(PoisonError::into_inner) = self.control.figures();
+            self.step(Event::Jobs(self.board.counts()));
+            let mut figures = self.control.figures();
+            if let Some(jobs) = &mut figures.jobs {
+                jobs.refused = self.board.all_refused();
+            }
+            *self.figures.lock().unwrap_or_else(PoisonError::into_inner) = figures;
         }
     }
 
@@ -270,6 +282,7 @@
                     self.exchange.publish(parts.clone());
                     self.log(parts);
                 }
+                Effect::Jobs(posted) => self.board.post(posted),
                 Effect::Mastership(epoch) => {
                     let grants = epoch.is_some();
                     log::info!(target: "control", grants, epoch = epoch.map_or(0, |e| e.0); "mastership");
--- a/src/net/figures.rs
+++ b/src/net/figures.rs
@@ -1,5 +1,6 @@
 //! The figures in Prometheus's text format.
 
+use crate::control::JobFigures;
 use crate::engine::{Figures, PeerFigures, ShareFigures};
 use crate::recovery::{RecoveryFigures, State};
 use prometheus_client::collector::Collector;
@@ -102,12 +103,30 @@
     scrape.figure("control_round_complete", Gauge, [([], rounded(r.complete))])?;
     scrape.figure("control_round_waited_ms", Gauge, [([], rounded(r.waited_ms))])?;
     scrape.figure("control_round_planned_ms", Gauge, [([], rounded(r.planned_ms))])?;
+    if let Some(j) = &c.jobs {
+        jobs(j, scrape)?;
+    }
     let d = &c.dropped;
     let dropped =
         [("malformed", d.malformed), ("version", d.version), ("code", d.code), ("replayed", d.replayed)];
     scrape.figure("control_dropped", Counter, dropped.map(|(why, n)| ([("why", why)], n)))
 }
 
+/// The booked jobs that are gathered.
+fn jobs(j: &JobFigures, scrape: &mut Scrape) -> Result<(), Error> {
+    scrape.figure("job_running", Gauge, [([], j.running)])?;
+    scrape.figure("job_cut", Gauge, [([], j.cut)])?;
+    let refused = [("open", j.refused.open), ("later", j.refused.later)];
+    scrape.figure("job_refused", Counter, refused.map(|(which, n)| ([("set_up", which)], n)))?;
+    let of_each = || j.results.iter().map(|r| ([("class", r.class.as_str()), ("site", r.site.as_str())], r));
+    scrape.figure("job_ended", Counter, of_each().map(|(labels, r)| (labels, r.ended)))?;
+    scrape.figure("job_ended_cut", Counter, of_each().map(|(labels, r)| (labels, r.cut)))?;
+    scrape.figure("job_complete", Gauge, of_each().map(|(labels, r)| (labels, rounded(r.complete))))?;
+    scrape.figure("job_worth", Gauge, of_each().map(|(labels, r)| (labels, rounded(r.worth))))?;
+    scrape.figure("job_waited_ms", Gauge, of_each().map(|(labels, r)| (labels, rounded(r.waited_ms))))?;
+    scrape.figure("job_lateness_ms", Gauge, of_each().map(|(labels, r)| (labels, rounded(r.lateness_ms))))
+}
+
 /// Messages between border controllers.
 fn peers(p: &PeerFigures, scrape: &mut Scrape) -> Result<(), Error> {
     scrape.figure("peer_datagrams_sent", Counter, [([], p.sent)])?;
--- a/src/reservations/host.rs
+++ b/src/reservations/host.rs
@@ -6,7 +6,7 @@
 use super::pages::Pages;
 use super::replica::{Did, Replica};
 use super::request::{Answer, Listed, Listing, Reason, Request, State};
-use super::running::{News, Running, Site};
+use super::running::{JobWindow, News, Running, Site};
 use super::settings::Settings;
 use super::{Input, Output, calendar, rules, store};
 use crate::terms::{Budget, BudgetId, Member};
@@ -179,6 +179,11 @@
                     self.running.used(book, rule, slot, per_s.max(0.0), now, news);
                 }
             }
+            Input::Finished { booking } => {
+                if let Some(slot) = booking.0.checked_sub(BudgetId::BOOKED) {
+                    self.running.finished(slot);
+                }
+            }
             Input::Live { site, per_s, dear_per_s } => self.live(&site, per_s, dear_per_s),
             Input::Capacity { site, per_s } => self.site(&site).capacity = Some(per_s.max(0.0)),
             Input::SiteLost(site) => self.site(&site).lost = true,
@@ -467,6 +472,12 @@
         }
     }
 
+    /// The windows of gathered jobs that run now.
+    #[must_use]
+    pub fn windows(&self) -> Vec<JobWindow> {
+        self.running.windows(self.replica.log().book(), self.unix_ms)
+    }
+
     /// All bookings as known here, with what is asked for here and not answered yet.
     #[must_use]
     pub fn listing(&self) -> Listing {
--- a/src/reservations/mod.rs
+++ b/src/reservations/mod.rs
@@ -29,6 +29,7 @@
 pub use log::{Entry, Mark};
 pub use message::{Body, Message, Wish};
 pub use request::{Answer, LeftOut, Listed, Listing, Promise, Reason, Request, State, Window};
+pub use running::JobWindow;
 pub use settings::{Freeze, NoShow, Preempt, Settings, SiteCapacity, Team};
 
 use crate::terms::{Budget, BudgetId, Epoch, Member};
@@ -46,6 +47,10 @@
         booking: BudgetId,
         per_s: f64,
     },
+    /// The job of a booking's present window is over: the rest of that window is everybody's.
+    Finished {
+        booking: BudgetId,
+    },
     /// Live traffic of a site (all that is no booking's), set-ups a second; `dear_per_s` of it is dear.
     Live {
         site: String,
--- a/src/reservations/request.rs
+++ b/src/reservations/request.rs
@@ -40,6 +40,9 @@
     /// Its windows are kept on holidays.
     #[serde(default)]
     pub on_holidays: bool,
+    /// How many set-ups each window's job is expected to have: its result is gathered; none: it is not.
+    #[serde(default)]
+    pub set_ups: Option<u32>,
 }
 
 /// No text of a request is longer, bytes.
@@ -75,6 +78,9 @@
         if self.minutes == 0 {
             return Err("minutes: 1 or more is wanted".into());
         }
+        if self.set_ups == Some(0) {
+            return Err("set_ups: 1 or more is wanted".into());
+        }
         Ok(())
     }
 }
--- a/src/reservations/running.rs
+++ b/src/reservations/running.rs
@@ -26,6 +26,26 @@
     high_since: Option<f64>,
     granted: f64,
     cut: Option<String>,
+    /// Its job is over: the rest of the window is everybody's.
+    finished: bool,
+}
+
+/// A running window of a booking that says how many set-ups its job is expected to have.
+#[derive(Clone, Debug, PartialEq)]
+pub struct JobWindow {
+    pub booking: BudgetId,
+    /// The same at every instance, and no other window's.
+    pub occurrence: u64,
+    /// `team/id`.
+    pub name: String,
+    pub class: String,
+    pub site: Option<String>,
+    pub number_prefix: Option<String>,
+    pub expected: u32,
+    /// Until its end, ms.
+    pub left_ms: f64,
+    /// Its job is over, as was told here.
+    pub finished: bool,
 }
 
 /// A team is to hear this about its booking.
@@ -58,9 +78,8 @@
         now: f64,
         news: &mut Vec<News>,
     ) {
-        let (Some(run), Some(booking)) = (self.runs.get_mut(&slot), book.bookings().get(&slot)) else {
-            return;
-        };
+        let run = self.runs.get_mut(&slot).filter(|run| !run.finished);
+        let (Some(run), Some(booking)) = (run, book.bookings().get(&slot)) else { return };
         let booked = booking.request.per_s;
         let full = rule.steps.len() - 1;
         if per_s < rule.used_share * booked {
@@ -84,6 +103,34 @@
         }
     }
 
+    /// The job of the present window is over.
+    pub fn finished(&mut self, slot: u16) {
+        if let Some(run) = self.runs.get_mut(&slot) {
+            run.finished = true;
+            (run.granted, run.cut) = (0.0, Some("its job is over".to_owned()));
+        }
+    }
+
+    /// The windows of gathered jobs that run now, `unix_ms`; also those whose job is over.
+    #[must_use]
+    pub fn windows(&self, book: &Book, unix_ms: u64) -> Vec<JobWindow> {
+        let window = |(slot, run): (&u16, &Run)| {
+            let request = &book.bookings().get(slot)?.request;
+            Some(JobWindow {
+                booking: BudgetId(BudgetId::BOOKED.checked_add(*slot)?),
+                occurrence: u64::from(*slot) << 32 | u64::from(run.span.start),
+                name: format!("{}/{}", request.team, request.id),
+                class: request.class.clone(),
+                site: request.site.clone(),
+                number_prefix: request.number_prefix.clone(),
+                expected: request.set_ups?,
+                left_ms: (u64::from(run.span.end) * 60_000).saturating_sub(unix_ms) as f64,
+                finished: run.finished,
+            })
+        };
+        self.runs.iter().filter_map(window).collect()
+    }
+
     /// The budgets of the bookings that run at `at`.
     pub fn budgets(
         &mut self,
@@ -100,11 +147,22 @@
                 self.runs.remove(&slot);
                 continue;
             };
-            let new = Run { span, step: full, low_since: None, high_since: None, granted: 0.0, cut: None };
+            let new = Run {
+                span,
+                step: full,
+                low_since: None,
+                high_since: None,
+                granted: 0.0,
+                cut: None,
+                finished: false,
+            };
             let run = self.runs.entry(slot).or_insert_with(|| new.clone());
             if run.span.start != span.start {
                 *run = new;
             }
+            if run.finished {
+                continue;
+            }
             // Highest priority first; of two with the same, the earlier promise.
             order.push((std::cmp::Reverse(booking.request.priority), booking.order, slot));
         }
@@ -126,7 +184,8 @@
             }
             (run.granted, run.cut) = (granted, cut);
         }
-        self.runs.iter().filter_map(|(slot, run)| budget(book, settings, *slot, run)).collect()
+        let running = self.runs.iter().filter(|(_, run)| !run.finished);
+        running.filter_map(|(slot, run)| budget(book, settings, *slot, run)).collect()
     }
 }
 
--- a/src/shares/grantor.rs
+++ b/src/shares/grantor.rs
@@ -328,6 +328,13 @@
         self.targets = targets;
     }
 
+    pub(super) fn divided(&self, budget: BudgetId) -> Vec<(Member, f64)> {
+        let Some(at) = self.budgets.iter().position(|b| b.id == budget) else { return Vec::new() };
+        let floor = self.budgets[at].per_s * self.budgets[at].floor / f64::from(self.members);
+        let of = |target: &Vec<Amount>| target.get(at).map_or(0.0, |t| t.per_s as f64 / 1000.0) + floor;
+        (0..).map(Member).zip(self.targets.iter().map(of)).collect()
+    }
+
     /// Grants to those of the last division that can have more by now.
     fn regrant(&mut self, now: f64, sends: &mut Sends) {
         self.regrant_at = f64::INFINITY;
--- a/src/shares/mod.rs
+++ b/src/shares/mod.rs
@@ -24,7 +24,7 @@
 pub use purse::Purse;
 pub use settings::ShareSettings;
 
-use crate::terms::{Budget, Demand, Epoch, Member, Part};
+use crate::terms::{Budget, BudgetId, Demand, Epoch, Member, Part};
 use grantor::Grantor;
 use holder::Holder;
 use mastership::Keeper;
@@ -259,6 +259,12 @@
         own.or_else(|| self.holder.grantor(self.now))
     }
 
+    /// As grantor: what each member was to have of a budget at the last division, its floor with it, a second.
+    #[must_use]
+    pub fn divided(&self, budget: BudgetId) -> Vec<(Member, f64)> {
+        self.grantor.as_ref().map_or_else(Vec::new, |grantor| grantor.divided(budget))
+    }
+
     /// The budgets that are divided: the operator's and those booked.
     #[must_use]
     pub fn budgets(&self) -> &[Budget] {
