Run booked jobs' deadlines in processes, and have the next grantor wait for the counts

Need: the hosted jobs were held at reducer level only. In processes a grantor that took over an overdue job decided before any count had come (complete=0.0000 in the log): JobEvent::Starts was stepped, and what is due in a step happens in it. Checked: a reducer test in which nobody could grant until the job was long overdue fails without it.

--- a/src/control/jobs.rs
+++ b/src/control/jobs.rs
@@ -4,46 +4,18 @@
 //! What is told are totals and states, again each round: doubled, late or lost datagrams change nothing. A word of the
 //! grantor counts only from the one that is known under its epoch.
 
-use crate::gather::{
-    Count, JobEffect, JobEvent, JobPhase, Jobs, Occurrence, Posted, Report, Settings, Stand, Why,
-};
+use super::job_results::{JobFigures, Results};
+use super::job_words::{LINES, Message, Told};
+use crate::gather::{Count, JobEffect, JobEvent, JobPhase, Jobs, Occurrence, Posted, Settings, Stand};
 use crate::reservations::JobWindow;
 use crate::terms::{BudgetId, Epoch, Member};
-use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
-/// Lines of a datagram, the same for both kinds.
-const LINES: usize = 10;
-/// Results that are shown, one for each class and site; of more, those told longest ago are not.
-const SHOWN_MOST: usize = 64;
 /// A member's part of a job is at most so many times the mean, whatever it asks for.
 const PART_MOST: f64 = 2.0;
 /// A window that is over is kept while its job is heard of, and so many leases longer.
 const KEPT_LEASES: f64 = 3.0;
 
-/// What instances say to each other about jobs.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub(super) enum Message {
-    /// To the grantor: this process's counts, all told. `life` tells processes of one member apart.
-    Counts { life: u64, lines: Vec<(u64, u32, u32)> },
-    /// From the grantor of this epoch: how jobs stand.
-    Stands { epoch: Epoch, lines: Vec<(u64, Told)> },
-}
-
-/// How a job stands, as the grantor tells it.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-pub(super) enum Told {
-    /// It began so long ago, ms.
-    Running {
-        age_ms: u32,
-    },
-    Whole,
-    /// Its set-ups are refused for so long from now, ms.
-    Cut {
-        left_ms: u32,
-    },
-}
-
 /// What comes of a step, in this order.
 #[derive(Debug, PartialEq)]
 pub(super) enum Did {
@@ -58,34 +30,6 @@
     Note(String),
 }
 
-/// What operators are shown of jobs.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct JobFigures {
-    /// Known here: those that run, and those that are cut and whose set-ups are refused.
-    pub running: u64,
-    pub cut: u64,
-    /// Set-ups refused here as their job was cut.
-    pub refused: crate::gather::Refused,
-    /// At the grantor: the results of each class and site since it grants.
-    pub results: Vec<ResultFigures>,
-}
-
-/// Results of one class and site.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct ResultFigures {
-    pub class: String,
-    /// Empty: all sites.
-    pub site: String,
-    /// Jobs that ended, and those of them that were cut.
-    pub ended: u64,
-    pub cut: u64,
-    /// Of the last: share complete, worth, ms waited, and of these beyond the deadline planned.
-    pub complete: f64,
-    pub worth: f64,
-    pub waited_ms: f64,
-    pub lateness_ms: f64,
-}
-
 /// A member's counts: of its earlier lives, and of the present one.
 #[derive(Clone, Copy, Debug, Default)]
 struct Counted {
@@ -116,13 +60,14 @@
     members: u16,
     life: u64,
     lease_ms: f64,
-    settings: Settings,
     jobs: Jobs,
     grants: Option<Epoch>,
+    /// Since when.
+    granted_at: f64,
     present: Vec<Member>,
     known: BTreeMap<Occurrence, Known>,
     posted: Vec<Posted>,
-    results: Vec<ResultFigures>,
+    results: Results,
     effects: Vec<JobEffect>,
 }
 
@@ -140,13 +85,13 @@
             members,
             life,
             lease_ms,
-            jobs: Jobs::new(settings.clone(), seed),
-            settings,
+            jobs: Jobs::new(settings, seed),
             grants: None,
+            granted_at: f64::NEG_INFINITY,
             present: Vec::new(),
             known: BTreeMap::new(),
             posted: Vec::new(),
-            results: Vec::new(),
+            results: Results::default(),
             effects: Vec::new(),
         }
     }
@@ -161,14 +106,14 @@
             running: of(|k| k.running && k.stand == Stand::Open),
             cut: of(|k| matches!(k.stand, Stand::Cut { .. })),
             refused: crate::gather::Refused::default(),
-            results: self.results.clone(),
+            results: self.results.shown().to_vec(),
         }
     }
 
     /// This instance grants from now on, or no longer. What was learned of keys stays; of the jobs that run nothing does:
     /// they are counted anew from totals.
     pub(super) fn mastership(&mut self, now: f64, epoch: Option<Epoch>) {
-        self.grants = epoch;
+        (self.grants, self.granted_at) = (epoch, now);
         self.present.clear();
         for (&occurrence, known) in &mut self.known {
             self.jobs.step(now, JobEvent::Cancelled { occurrence }, &mut self.effects);
@@ -326,7 +271,11 @@
             let fresh = known.stand == Stand::Open && self.jobs.phase(occurrence).is_none();
             let wanted = self.present.len().min(2).min(known.window.expected as usize).max(1);
             let telling = known.counts.values().filter(|c| c.before > 0 || c.done > 0 || c.open > 0).count();
-            let begun = known.began_at.is_some() || telling >= wanted;
+            // One that another grantor began may be due at once: it is gone on with once all had time to tell their counts.
+            let begun = match known.began_at {
+                Some(_) => now >= self.granted_at + self.lease_ms,
+                None => telling >= wanted,
+            };
             // One whose window is over is only gone on with, not begun.
             if !fresh || !begun || self.present.is_empty() || (!known.running && known.began_at.is_none()) {
                 continue;
@@ -340,14 +289,12 @@
                 site: w.site.clone(),
                 expected: w.expected,
                 members: self.present.clone(),
+                counts: (known.counts.iter())
+                    .map(|(&m, c)| (m, c.before.saturating_add(c.done), c.open))
+                    .collect(),
                 ends_at: known.ends_at,
             };
             self.jobs.step(now, starts, &mut self.effects);
-            for (&member, c) in &known.counts {
-                let done = c.before.saturating_add(c.done);
-                let event = JobEvent::Counts { occurrence, member, done, open: c.open };
-                self.jobs.step(now, event, &mut self.effects);
-            }
         }
         for (&occurrence, known) in &mut self.known {
             if known.began_at.is_none() && self.jobs.phase(occurrence).is_some() {
@@ -375,7 +322,9 @@
                     if self.jobs.phase(report.occurrence) != Some(JobPhase::Cut) {
                         self.ends(report.occurrence, Stand::Whole, did);
                     }
-                    self.result(&report, did);
+                    if let Some(known) = self.known.get(&report.occurrence) {
+                        did.push(Did::Note(self.results.told(&known.window.name, &report)));
+                    }
                     told = true;
                 }
                 JobEffect::Forget { .. } => {}
@@ -449,40 +398,6 @@
         all.sort_by_key(|p| (p.budget, std::cmp::Reverse(p.occurrence)));
         all
     }
-
-    fn result(&mut self, report: &Report, did: &mut Vec<Did>) {
-        let Some(known) = self.known.get(&report.occurrence) else { return };
-        let w = &known.window;
-        let why = match report.why {
-            Why::Whole => "whole",
-            Why::GivenUp => "given_up",
-            Why::Deadline => "deadline",
-            Why::Cap => "cap",
-        };
-        let Report { complete, worth, net, waited_ms, lateness_ms, open, explored, .. } = report;
-        let planned_ms = self.jobs.figures().iter().find(|f| f.key == report.key).and_then(|f| f.planned_ms);
-        did.push(Did::Note(format!(
-            "job result booking={} class={} site={} why={why} complete={complete:.4} worth={worth:.4} net={net:.4} \
-             waited_ms={waited_ms:.0} lateness_ms={lateness_ms:.0} open={open} explored={explored} next_ms={:.0}",
-            w.name,
-            w.class,
-            w.site.as_deref().unwrap_or("-"),
-            planned_ms.unwrap_or(self.settings.cap_ms),
-        )));
-        let (class, site) = (w.class.clone(), w.site.clone().unwrap_or_default());
-        let mut figures = match self.results.iter().position(|r| r.class == class && r.site == site) {
-            Some(at) => self.results.remove(at),
-            None => ResultFigures { class, site, ..ResultFigures::default() },
-        };
-        figures.ended += 1;
-        figures.cut += u64::from(report.why != Why::Whole);
-        (figures.complete, figures.worth) = (*complete, *worth);
-        (figures.waited_ms, figures.lateness_ms) = (*waited_ms, *lateness_ms);
-        self.results.push(figures);
-        if self.results.len() > SHOWN_MOST {
-            self.results.remove(0);
-        }
-    }
 }
 
 /// What each of the members present weighs in a booking's division: what it was given so far, no more than
--- a/src/control/jobs_tests.rs
+++ b/src/control/jobs_tests.rs
@@ -217,12 +217,24 @@
 
 #[test]
 fn the_next_grantor_ends_the_job_of_one_that_crashed() {
+    // In its midst, and so late that the job is due before the next one grants.
+    crashes_after(9000, 0);
+    crashes_after(23_400, 0);
+    // And where nobody could grant until it was long overdue.
+    crashes_after(9000, 60_000);
+}
+
+fn crashes_after(ms: u64, away_ms: u64) {
     let mut fleet = Fleet::new(Faults::default());
-    fleet.run(BEGINS + 9000, straggling);
+    fleet.run(BEGINS + ms, straggling);
     assert!(fleet.results().is_empty());
     let dead = fleet.grantor();
     fleet.controls[dead] = None;
-    fleet.run(100_000, straggling);
+    let keeper = (0..3).find(|&at| at != dead).unwrap();
+    let away = fleet.controls[keeper].take();
+    fleet.run(fleet.ms + away_ms, straggling);
+    fleet.controls[keeper] = away;
+    fleet.run(150_000, straggling);
     let results = fleet.results();
     let [(_, by, text)] = results[..] else { panic!("{results:?}") };
     assert_ne!(by, dead);
@@ -263,7 +275,7 @@
 }
 
 /// A member says what it likes, in good order.
-fn says(fleet: &mut Fleet, from: usize, to: usize, message: jobs::Message) {
+fn says(fleet: &mut Fleet, from: usize, to: usize, message: job_words::Message) {
     let mut out = Vec::new();
     fleet.controls[from].as_mut().unwrap().send(Member(to as u16), &Body::Jobs(message), &mut out);
     let Some(Effect::Send { bytes, .. }) = out.pop() else { panic!("{out:?}") };
@@ -280,7 +292,7 @@
     // Long before the job begins it says that all is done; then that nothing was, under other lives.
     for (life, done, open) in [(1, u32::MAX, u32::MAX), (2, 400, 0), (9, 0, 0), (u64::MAX, u32::MAX, 7)] {
         let lines = vec![(occurrence.0, done, open), (77, 5, 5)];
-        says(&mut fleet, me, grantor, jobs::Message::Counts { life, lines });
+        says(&mut fleet, me, grantor, job_words::Message::Counts { life, lines });
     }
     // The three others: 87 of their 100 each.
     let counts = |at, ms: u64| match ms {
@@ -308,8 +320,8 @@
     let epoch = fleet.grants[grantor].unwrap();
     let Occurrence(occurrence) = fleet.posted[0][0].occurrence;
     let cut = |epoch| {
-        let lines = vec![(occurrence, jobs::Told::Cut { left_ms: 60_000 }), (7, jobs::Told::Whole)];
-        jobs::Message::Stands { epoch, lines }
+        let lines = vec![(occurrence, job_words::Told::Cut { left_ms: 60_000 }), (7, job_words::Told::Whole)];
+        job_words::Message::Stands { epoch, lines }
     };
     for epoch in [epoch, Epoch(epoch.0 - 1), Epoch(epoch.0 + 1), Epoch(u64::MAX)] {
         (0..3).for_each(|to| says(&mut fleet, 3, to, cut(epoch)));
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -8,6 +8,8 @@
 
 mod bookings;
 mod demand;
+mod job_results;
+mod job_words;
 mod jobs;
 #[cfg(test)]
 mod jobs_tests;
@@ -17,7 +19,7 @@
 mod tests;
 pub mod wire;
 
-pub use jobs::{JobFigures, ResultFigures};
+pub use job_results::{JobFigures, ResultFigures};
 pub use rounds::RoundFigures;
 pub use settings::ControlSettings;
 
@@ -37,7 +39,7 @@
 enum Body {
     Shares(Message),
     Reservations(reservations::Message),
-    Jobs(jobs::Message),
+    Jobs(job_words::Message),
 }
 
 /// Who this process is in its fleet.
@@ -225,7 +227,7 @@
     fn host_jobs(
         &mut self,
         (now, unix_ms): (f64, u64),
-        told: Option<(Member, jobs::Message)>,
+        told: Option<(Member, job_words::Message)>,
         counted: Option<Vec<Count>>,
         out: &mut Vec<Effect>,
     ) {
--- a/src/engine/jobs.rs
+++ b/src/engine/jobs.rs
@@ -154,3 +154,136 @@
         self.answer(id, ToCaller::Refused { call: id, stay_away_ms }, out);
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::engine::tests::engine;
+    use crate::engine::{CallerConn, Event, FromCaller, FromServer, ServerConn, SetUp, ToServer};
+    use crate::gather::{Count, Posted};
+    use crate::terms::BudgetId;
+
+    const CALLER: CallerConn = CallerConn(5);
+
+    fn posted(site: Option<&str>, stand: Stand) -> Posted {
+        Posted {
+            occurrence: Occurrence(9),
+            budget: BudgetId(BudgetId::BOOKED),
+            class: "voice".into(),
+            site: site.map(str::to_owned),
+            number_prefix: Some("0045".into()),
+            stand,
+        }
+    }
+
+    /// An engine with a board, a caller and one call server.
+    fn with_board(site: Option<&str>) -> (Engine, Arc<Board>, ServerConn) {
+        let (engine, _, conn) = engine();
+        let board = Arc::new(Board::default());
+        board.post(vec![posted(site, Stand::Open)]);
+        let mut engine = engine.with_jobs(board.clone(), 1, 0.0);
+        let now = engine.now;
+        engine.step(now, Event::CallerOpened(CALLER), &mut Vec::new());
+        (engine, board, conn)
+    }
+
+    fn set_up(engine: &mut Engine, id: u64, number: &str) -> Vec<Effect> {
+        let mut out = Vec::new();
+        let set_up = SetUp {
+            call: CallId(id),
+            class: "voice".into(),
+            wait_ms: 9000.0,
+            redial: false,
+            number: Some(number.into()),
+            first_choice: Some(0),
+            width: 1,
+            description: "v=0".into(),
+        };
+        let (now, message) = (engine.now, FromCaller::SetUp(set_up));
+        engine.step(now, Event::Caller { conn: CALLER, read_at: now, message }, &mut out);
+        out
+    }
+
+    fn refused(out: &[Effect]) -> Vec<(u64, f64)> {
+        let refused = |effect: &Effect| match effect {
+            Effect::ToCaller { message: ToCaller::Refused { call, stay_away_ms }, .. } => {
+                Some((call.0, *stay_away_ms))
+            }
+            _ => None,
+        };
+        out.iter().filter_map(refused).collect()
+    }
+
+    fn counts(board: &Board) -> (u32, u32) {
+        let Count { done, open, .. } = board.counts()[0];
+        (done, open)
+    }
+
+    #[test]
+    fn a_cut_job_gives_each_open_set_up_its_one_answer_and_later_ones_theirs_at_once() {
+        let (mut engine, board, conn) = with_board(None);
+        for id in 1..=4 {
+            assert!(refused(&set_up(&mut engine, id, "0045123")).is_empty());
+        }
+        set_up(&mut engine, 5, "0046123");
+        assert_eq!(counts(&board), (0, 4), "the fifth is none of the job's");
+        let now = engine.now;
+        let server = |message| Event::Server { conn, message };
+        let answer = FromServer::Answer { call: CallId(1), description: Some("v=0".into()) };
+        engine.step(now, server(answer), &mut Vec::new());
+        let release = FromCaller::Release(CallId(2));
+        engine.step(now, Event::Caller { conn: CALLER, read_at: now, message: release }, &mut Vec::new());
+        assert_eq!(counts(&board), (1, 2), "one was answered, one given up");
+
+        engine.stay_away_max_ms = 2000.0;
+        board.post(vec![posted(None, Stand::Cut { until: 60_000.0 })]);
+        let mut out = Vec::new();
+        engine.step(now, Event::Tick, &mut out);
+        let told = refused(&out);
+        assert_eq!(told.iter().map(|(id, _)| *id).collect::<Vec<_>>(), [3, 4]);
+        assert!(told.iter().all(|(_, ms)| (500.0..=2000.0).contains(ms)), "{told:?}");
+        // Their attempts are called off, the release first, as any other's.
+        let released = |id| {
+            out.iter().any(|e| matches!(e, Effect::ToServer { message: ToServer::Release(CallId(c)), confirm: true, .. } if *c == id))
+        };
+        assert!(released(3) && released(4) && !released(5));
+        assert_eq!(counts(&board), (3, 0));
+        let late = FromServer::Answer { call: CallId(3), description: Some("v=0".into()) };
+        out.clear();
+        engine.step(now, server(late), &mut out);
+        assert!(!out.iter().any(|e| matches!(e, Effect::ToCaller { .. })), "{out:?}");
+
+        let later = set_up(&mut engine, 6, "0045777");
+        assert_eq!(refused(&later).len(), 1);
+        assert!(!later.iter().any(|e| matches!(e, Effect::ToServer { .. })), "{later:?}");
+        assert!(refused(&set_up(&mut engine, 7, "0046777")).is_empty(), "another's is taken");
+        assert_eq!(counts(&board), (3, 0), "the occurrence is over");
+        assert_eq!((board.all_refused().open, board.all_refused().later), (2, 1));
+        // It is over at its time, by the monotonic clock.
+        engine.monotonic(59_000.0);
+        let nearly = refused(&set_up(&mut engine, 8, "0045777"));
+        assert!(
+            nearly.iter().all(|(_, ms)| (1000.0..=2000.0).contains(ms)) && nearly.len() == 1,
+            "{nearly:?}"
+        );
+        engine.monotonic(60_001.0);
+        assert!(refused(&set_up(&mut engine, 9, "0045777")).is_empty());
+        engine.step(now, Event::Tick, &mut out);
+        assert_eq!(counts(&board), (3, 0));
+    }
+
+    #[test]
+    fn a_sites_job_has_what_goes_to_its_site() {
+        let (mut engine, board, _) = with_board(Some("aarhus"));
+        set_up(&mut engine, 1, "0045123");
+        assert_eq!(counts(&board), (0, 0), "its call server is of no site");
+        engine.fleet.servers.values_mut().for_each(|s| s.listing.zone = Some("aarhus".into()));
+        set_up(&mut engine, 2, "0045123");
+        assert_eq!(counts(&board), (0, 1));
+        board.post(vec![posted(Some("aarhus"), Stand::Cut { until: 60_000.0 })]);
+        let out = set_up(&mut engine, 3, "0045123");
+        assert_eq!(refused(&out).iter().map(|(id, _)| *id).collect::<Vec<_>>(), [2, 3]);
+        assert!(!out.iter().any(|e| matches!(e, Effect::ToServer { message: ToServer::SetUp { .. }, .. })));
+        assert_eq!(counts(&board), (1, 0));
+    }
+}
--- a/src/engine/tests.rs
+++ b/src/engine/tests.rs
@@ -7,7 +7,7 @@
 const BORN: u64 = 1_000_000;
 
 /// An engine with peers and probes, and one call server on one open connection.
-fn engine() -> (Engine, ServerId, ServerConn) {
+pub(super) fn engine() -> (Engine, ServerId, ServerConn) {
     let settings = json!({"siblings": 5, "services": [{"name": "voice", "deadline_ms": 9000.0, "target_ms": 1500.0,
         "worth": 1.0}], "ceilings": {"attempts_cap": 5, "probing": true, "may_tell": true, "dial_timeout_ms": 500.0},
         "rules": {"cold_from": 0.3, "cold_ms": 9000.0, "fall_multiple": 2.5, "fall_ms": 1500.0},
--- a/src/gather/jobs.rs
+++ b/src/gather/jobs.rs
@@ -40,6 +40,8 @@
         site: Option<String>,
         expected: u32,
         members: Vec<Member>,
+        /// What was counted before, as in [`JobEvent::Counts`]: a member's done and open.
+        counts: Vec<(Member, u32, u32)>,
         ends_at: f64,
     },
     /// The booked budget was divided anew: each member's weight in it.
@@ -114,11 +116,21 @@
     /// Takes one event; whatever is due by `now` happens after it.
     pub fn step(&mut self, now: f64, event: JobEvent, effects: &mut Vec<JobEffect>) {
         match event {
-            JobEvent::Starts { occurrence, since, budget, class, site, expected, members, ends_at } => {
+            JobEvent::Starts {
+                occurrence,
+                since,
+                budget,
+                class,
+                site,
+                expected,
+                members,
+                counts,
+                ends_at,
+            } => {
                 if self.jobs.contains_key(&occurrence) {
                     return;
                 }
-                let open = BTreeMap::new();
+                let open = counts.iter().map(|&(member, _, open)| (member, open)).collect();
                 let job = Job { budget, phase: JobPhase::Running, ends_at, given_back: false, open };
                 self.jobs.insert(occurrence, job);
                 let (id, key) = (gather(occurrence), Key::Job { class, site });
@@ -126,6 +138,9 @@
                 if since.is_some() {
                     self.gathers.unlearned(id);
                 }
+                for (member, done, _) in counts {
+                    self.gathers.arrived(now, id, member, done);
+                }
             }
             JobEvent::Divided { occurrence, weights } => self.gathers.allot(gather(occurrence), &weights),
             JobEvent::Counts { occurrence, member, done, open } => {
--- a/src/gather/tests.rs
+++ b/src/gather/tests.rs
@@ -252,6 +252,7 @@
         site: None,
         expected: 40,
         members: members(4),
+        counts: Vec::new(),
         ends_at,
     }
 }
--- a/src/lab/caller.rs
+++ b/src/lab/caller.rs
@@ -112,6 +112,9 @@
 #[derive(Default)]
 struct Ledger {
     open: HashMap<u64, Open>,
+    /// Its calls are numbered from here. What is heard of others is a release that an earlier caller, whose connection
+    /// is closed, may not have heard.
+    base: u64,
     /// Calls cut with a crashed instance: what is heard of them later counts for nothing.
     cut: HashSet<u64>,
     /// Repeats, each with when it is due.
@@ -146,7 +149,7 @@
 
     /// Takes one message: its type, call, cause and advice to stay away.
     fn hear(&mut self, (kind, call, cause, stay_away): Heard) {
-        if kind == TEST_ANSWER || self.cut.contains(&call) {
+        if kind == TEST_ANSWER || self.cut.contains(&call) || call < self.base {
             return;
         }
         let found = self.open.get_mut(&call);
@@ -327,6 +330,7 @@
         classes,
         repeats: profile.repeats,
         await_ends: profile.await_ends,
+        base,
         ..Ledger::default()
     }));
     let mut rng = fastrand::Rng::with_seed(profile.seed ^ base);
--- a/src/lab/standin.rs
+++ b/src/lab/standin.rs
@@ -34,6 +34,9 @@
     Flaky = 4,
     /// Its process is gone: connections are reset, and nothing is taken.
     Down = 5,
+    /// Every second set-up on a connection is taken and never answered, the others are at once: no sign of a server that
+    /// is down or slow, and some callers that wait and wait.
+    Forgetful = 6,
 }
 
 /// What reached a stand-in since it started.
@@ -321,7 +324,8 @@
         vec![(Duration::ZERO, answer)]
     };
     let well = "x0:80;x1:100;latency_ms:5;can_take:400";
-    if mode == Mode::Mute as u8 || mode == Mode::Down as u8 {
+    let forgets = mode == Mode::Forgetful as u8 && heard.is_multiple_of(2);
+    if forgets || mode == Mode::Mute as u8 || mode == Mode::Down as u8 {
         return Vec::new();
     } else if mode == Mode::Reset as u8 {
         return sent_back(down(41, well));
--- a/tests/control/fleet.rs
+++ b/tests/control/fleet.rs
@@ -6,6 +6,7 @@
 use corkreach::lab::fleet::{self as lab, Instance, Orders};
 use corkreach::lab::names::Listed;
 use corkreach::lab::standin::{Mode, StandIn};
+use std::cell::Cell;
 use std::net::UdpSocket;
 use std::path::{Path, PathBuf};
 use std::process::Command;
@@ -35,6 +36,8 @@
     name: &'static str,
     control: String,
     classes: Vec<Class>,
+    /// Loads so far: each has its calls' numbers to itself.
+    loads: Cell<u64>,
     servers: Arc<Vec<StandIn>>,
     pub links: Datagrams,
     instances: Vec<Instance>,
@@ -85,21 +88,45 @@
 impl Fleet {
     /// `n` instances, each link between them with the faults that `faults` has for its sender.
     pub fn start(n: usize, name: &'static str, faults: impl Fn(usize) -> Faults) -> Fleet {
+        Fleet::start_with(n, name, faults, &["voice"], LEASE_MS, "")
+    }
+
+    /// The same with these classes of calls, and this lease and more in the operator's file.
+    pub fn start_with(
+        n: usize,
+        name: &'static str,
+        faults: impl Fn(usize) -> Faults,
+        classes: &[&str],
+        lease_ms: u64,
+        more: &str,
+    ) -> Fleet {
         let control = format!(
-            "keepers: [0, 1, 2]\nlease_ms: {LEASE_MS}\nround_ms: {ROUND_MS}\nbudgets:\n  \
-             - {{name: set-ups, spend: set_ups, per_s: {PER_S}, burst: {BURST}, floor: {FLOOR}}}\n"
+            "keepers: [0, 1, 2]\nlease_ms: {lease_ms}\nround_ms: {ROUND_MS}\nbudgets:\n  \
+             - {{name: set-ups, spend: set_ups, per_s: {PER_S}, burst: {BURST}, floor: {FLOOR}}}\n{more}"
         );
         let servers = Arc::new((0..2).map(|_| StandIn::start(Mode::Answer).unwrap()).collect::<Vec<_>>());
         let links = Datagrams::start(n, 0x5eed ^ n as u64).unwrap();
         (0..n).for_each(|i| links.set_around(i, faults(i)));
-        let classes = vec![Class { name: "voice".into(), worth: 1.0, part: 1.0 }];
+        let class = |name: &&str| Class { name: (*name).to_owned(), worth: 1.0, part: 1.0 };
+        let classes = classes.iter().map(class).collect();
         let doors = (0..n).map(|_| Arc::default()).collect();
         let stop = Arc::new(AtomicBool::new(false));
         let reached = Some(sample(servers.clone(), stop.clone()));
         let folder = tempfile::tempdir().unwrap();
         let instances = Vec::new();
-        let mut fleet =
-            Fleet { name, control, classes, servers, links, instances, doors, folder, reached, stop };
+        let mut fleet = Fleet {
+            name,
+            control,
+            classes,
+            loads: Cell::new(0),
+            servers,
+            links,
+            instances,
+            doors,
+            folder,
+            reached,
+            stop,
+        };
         for i in 0..n {
             let instance = fleet.launch(i);
             fleet.instances.push(instance);
@@ -199,17 +226,41 @@
 
     /// Callers at each instance for so long, at so many set-ups a second each.
     pub fn offer(&self, per_s: impl Fn(usize) -> f64, span: Duration) -> Load {
+        self.offer_of((&self.classes, false), 2000, per_s, span)
+    }
+
+    /// The same of one class, by callers that wait so long, and for their calls' ends: what one load has not heard would
+    /// be told to the next.
+    pub fn offer_class(
+        &self,
+        class: &str,
+        wait_ms: u32,
+        per_s: impl Fn(usize) -> f64,
+        span: Duration,
+    ) -> Load {
+        let classes: Vec<Class> = self.classes.iter().filter(|c| c.name == class).cloned().collect();
+        self.offer_of((&classes, true), wait_ms, per_s, span)
+    }
+
+    fn offer_of(
+        &self,
+        (classes, await_ends): (&[Class], bool),
+        wait_ms: u32,
+        per_s: impl Fn(usize) -> f64,
+        span: Duration,
+    ) -> Load {
+        let load = self.loads.replace(self.loads.get() + 1);
         let profile = Profile {
-            classes: self.classes.clone(),
-            wait_ms: 2000,
+            classes: classes.to_vec(),
+            wait_ms,
             repeats: None,
-            await_ends: false,
+            await_ends,
             places: (0..self.servers.len() as u32).collect(),
             seed: 11,
         };
         let offer = |(i, door): (usize, &Arc<Door>)| {
-            let (door, profile, per_s, base) =
-                (door.clone(), profile.clone(), per_s(i), (i as u64 + 1) << 32);
+            let (door, profile, per_s) = (door.clone(), profile.clone(), per_s(i));
+            let base = (i as u64 + 1) << 32 | load << 24;
             let seconds = span.as_secs() as usize;
             std::thread::spawn(move || caller::offer(door, &profile, |_| per_s, seconds, base, PATIENCE))
         };
@@ -280,6 +331,11 @@
 
     /// A figure of an instance, as operators read it.
     pub fn figure(&self, i: usize, name: &str) -> f64 {
+        self.figure_if(i, name).unwrap_or_else(|| panic!("there is no {name}"))
+    }
+
+    /// The same where it may not be there.
+    pub fn figure_if(&self, i: usize, name: &str) -> Option<f64> {
         let at = self.instances[i].management.unwrap();
         let text = ureq::get(format!("http://{at}/control/counters"))
             .call()
@@ -287,9 +343,23 @@
             .body_mut()
             .read_to_string()
             .unwrap();
-        let line =
-            text.lines().find_map(|l| l.strip_prefix(name)).unwrap_or_else(|| panic!("{name} in {text}"));
-        line.trim().parse().unwrap()
+        let line = text.lines().find_map(|l| l.strip_prefix(name)?.strip_prefix(' '))?;
+        Some(line.trim().parse().unwrap())
+    }
+
+    pub fn all(&self) -> std::ops::Range<usize> {
+        0..self.doors.len()
+    }
+
+    /// The lines of an instance's log that hold this text.
+    pub fn said(&self, i: usize, what: &str) -> Vec<String> {
+        let text = ledger::text(&self.instance_folder(i).join("log"));
+        text.lines().filter(|line| line.contains(what)).map(str::to_owned).collect()
+    }
+
+    /// From now on the call servers serve in this mode.
+    pub fn set_servers(&self, mode: Mode) {
+        self.servers.iter().for_each(|server| server.set_mode(mode));
     }
 
     /// What holds in every test: the parts' sum, each call's one answer (calls at those that were `ended` may be cut),
--- a/tests/control/main.rs
+++ b/tests/control/main.rs
@@ -3,6 +3,7 @@
 //! the call servers over any window is at most the whole's rate for it and its burst.
 
 mod fleet;
+mod jobs;
 mod ledger;
 
 use corkreach::lab::datagrams::Faults;
