--- a/tests/control/bookings.rs
+++ b/tests/control/bookings.rs
@@ -302,7 +302,7 @@
     let class = |name: &str, worth, part| Class { name: name.into(), worth, part };
     let classes = vec![class("voice", 1.0, 0.5), class("emergency", 10.0, 0.5)];
     let file = reservations(sites, PATIENT, "");
-    let setup = Setup { file, classes, sites: ["aarhus", "odense"] };
+    let setup = Setup { file, classes, sites: ["aarhus", "odense"], ..Setup::default() };
     let mut fleet = Fleet::start_with(3, "lost-site", |_| PASS, setup);
     fleet.booked.extend(["bills/high", "polls/low"]);
     fleet.until_divided(nearly_all());
--- a/tests/control/fleet.rs
+++ b/tests/control/fleet.rs
@@ -6,6 +6,7 @@
 use corkreach::lab::fleet::{self as lab, Instance, Orders};
 use corkreach::lab::names::Listed;
 use corkreach::lab::standin::{Mode, StandIn};
+use std::cell::Cell;
 use std::net::{SocketAddr, UdpSocket};
 use std::ops::RangeInclusive;
 use std::path::{Path, PathBuf};
@@ -36,6 +37,7 @@
 pub struct Setup {
     /// More of the operator's file.
     pub file: String,
+    pub lease_ms: u64,
     pub classes: Vec<Class>,
     /// The call servers' sites.
     pub sites: [&'static str; 2],
@@ -44,7 +46,7 @@
 impl Default for Setup {
     fn default() -> Self {
         let classes = vec![Class { name: "voice".into(), worth: 1.0, part: 1.0 }];
-        Setup { file: String::new(), classes, sites: ["aarhus"; 2] }
+        Setup { file: String::new(), lease_ms: LEASE_MS, classes, sites: ["aarhus"; 2] }
     }
 }
 
@@ -55,6 +57,8 @@
     sites: [&'static str; 2],
     /// Budgets of bookings, whose parts count as well.
     pub booked: Vec<&'static str>,
+    /// Loads so far: each has its calls' numbers to itself.
+    loads: Cell<u64>,
     servers: Arc<Vec<StandIn>>,
     pub links: Datagrams,
     instances: Vec<Instance>,
@@ -114,9 +118,9 @@
 
     /// The same with this setup.
     pub fn start_with(n: usize, name: &'static str, faults: impl Fn(usize) -> Faults, setup: Setup) -> Fleet {
-        let Setup { file, classes, sites } = setup;
+        let Setup { file, lease_ms, classes, sites } = setup;
         let control = format!(
-            "keepers: [0, 1, 2]\nlease_ms: {LEASE_MS}\nround_ms: {ROUND_MS}\nbudgets:\n  \
+            "keepers: [0, 1, 2]\nlease_ms: {lease_ms}\nround_ms: {ROUND_MS}\nbudgets:\n  \
              - {{name: set-ups, spend: set_ups, per_s: {PER_S}, burst: {BURST}, floor: {FLOOR}}}\n{file}"
         );
         let servers = Arc::new((0..2).map(|_| StandIn::start(Mode::Answer).unwrap()).collect::<Vec<_>>());
@@ -134,6 +138,7 @@
             classes,
             sites,
             booked,
+            loads: Cell::new(0),
             servers,
             links,
             instances,
@@ -253,7 +258,7 @@
 
     /// Callers at each instance for so long, at so many set-ups a second each.
     pub fn offer(&self, per_s: impl Fn(usize) -> f64, span: Duration) -> Load {
-        self.offer_to(0..=u64::MAX, per_s, span)
+        self.offer_of(self.profile(), per_s, span)
     }
 
     /// The same, to these numbers.
@@ -263,20 +268,40 @@
         per_s: impl Fn(usize) -> f64,
         span: Duration,
     ) -> Load {
-        // Calls of two loads are told apart by their references.
-        let loads = numbers.start() >> 52 << 40;
-        let profile = Profile {
+        self.offer_of(Profile { numbers, ..self.profile() }, per_s, span)
+    }
+
+    /// The same of one class, by callers that wait so long, and for their calls' ends: what one load has not heard would
+    /// be told to the next.
+    pub fn offer_class(
+        &self,
+        class: &str,
+        wait_ms: u32,
+        per_s: impl Fn(usize) -> f64,
+        span: Duration,
+    ) -> Load {
+        let classes: Vec<Class> = self.classes.iter().filter(|c| c.name == class).cloned().collect();
+        self.offer_of(Profile { classes, wait_ms, await_ends: true, ..self.profile() }, per_s, span)
+    }
+
+    fn profile(&self) -> Profile {
+        Profile {
             classes: self.classes.clone(),
             wait_ms: 2000,
             repeats: None,
             await_ends: false,
             places: (0..self.servers.len() as u32).collect(),
-            numbers,
+            numbers: 0..=u64::MAX,
             seed: 11,
-        };
+        }
+    }
+
+    fn offer_of(&self, profile: Profile, per_s: impl Fn(usize) -> f64, span: Duration) -> Load {
+        let load = self.loads.replace(self.loads.get() + 1);
         let offer = |(i, door): (usize, &Arc<Door>)| {
-            let (door, profile, per_s, base) =
-                (door.clone(), profile.clone(), per_s(i), loads | (i as u64 + 1) << 32);
+            let (door, profile, per_s) = (door.clone(), profile.clone(), per_s(i));
+            // Calls of two loads, and of two instances, are told apart by their references.
+            let base = load << 40 | (i as u64 + 1) << 32;
             let seconds = span.as_secs() as usize;
             std::thread::spawn(move || caller::offer(door, &profile, |_| per_s, seconds, base, PATIENCE))
         };
@@ -389,6 +414,11 @@
 
     /// A figure of an instance, as operators read it.
     pub fn figure(&self, i: usize, name: &str) -> f64 {
+        self.figure_if(i, name).unwrap_or_else(|| panic!("there is no {name}"))
+    }
+
+    /// The same where it may not be there.
+    pub fn figure_if(&self, i: usize, name: &str) -> Option<f64> {
         let at = self.instances[i].management.unwrap();
         let text = ureq::get(format!("http://{at}/control/counters"))
             .call()
@@ -396,9 +426,22 @@
             .body_mut()
             .read_to_string()
             .unwrap();
-        let line =
-            text.lines().find_map(|l| l.strip_prefix(name)).unwrap_or_else(|| panic!("{name} in {text}"));
-        line.trim().parse().unwrap()
+        let line = text.lines().find_map(|l| l.strip_prefix(name)?.strip_prefix(' '))?;
+        Some(line.trim().parse().unwrap())
+    }
+
+    pub fn all(&self) -> std::ops::Range<usize> {
+        0..self.doors.len()
+    }
+
+    /// The lines of an instance's log that hold this text.
+    pub fn said_of(&self, i: usize, what: &str) -> Vec<String> {
+        self.said(i).lines().filter(|line| line.contains(what)).map(str::to_owned).collect()
+    }
+
+    /// From now on the call servers serve in this mode.
+    pub fn set_servers(&self, mode: Mode) {
+        self.servers.iter().for_each(|server| server.set_mode(mode));
     }
 
     /// What holds in every test: the parts' sum, each call's one answer (calls at those that were `ended` may be cut),
--- a/tests/control/main.rs
+++ b/tests/control/main.rs
@@ -4,6 +4,7 @@
 
 mod bookings;
 mod fleet;
+mod jobs;
 mod ledger;
 mod links;
 
