--- a/src/control/bookings.rs
+++ b/src/control/bookings.rs
@@ -6,12 +6,12 @@
 //! under two names.
 
 use super::wholes::{Wholes, wholes};
-use crate::reservations::{Answer, Input, Listing, Message, Output, Reservations, Settings};
+use crate::reservations::{Answer, Input, JobWindow, Listing, Message, Output, Reservations, Settings};
 use crate::terms::{Budget, Member};
 
 /// What comes of a step: messages, the budgets that are in force now if they changed, and lines for the log.
 pub(super) enum Outcome {
-    Send { to: Member, message: Message },
+    Send { to: Member, message: Box<Message> },
     Budgets(Vec<Budget>),
     Append(Vec<u8>),
     Replace(Vec<u8>),
@@ -58,6 +58,11 @@
         self.in_force.clone()
     }
 
+    /// The windows of gathered jobs that run now.
+    pub(super) fn windows(&self) -> Vec<JobWindow> {
+        self.reservations.windows()
+    }
+
     pub(super) fn next_due(&self) -> f64 {
         self.reservations.next_due().min(self.wholes.due())
     }
@@ -67,7 +72,9 @@
         self.reservations.step(now, unix_ms, input, &mut outputs);
         for output in outputs.drain(..) {
             match output {
-                Output::Send { to, message } => out.push(Outcome::Send { to, message }),
+                Output::Send { to, message } => {
+                    out.push(Outcome::Send { to, message: Box::new(message) });
+                }
                 Output::Budgets(booked) => {
                     let new = wholes(&self.operators, &booked, &self.reservations.booked());
                     self.wholes.want(now, new);
