Free a booking's demand of noise, and let none wait where all calls are worth the same

Slower smoothing of the operator's budgets changed nothing; without waiting for budgets the refusals were gone. Lines at fault: control/demand.rs told the demand of a budget that it did not know (every booking) as counted, and what swings loses what its bucket held; engine/shares/held.rs let calls of one worth wait, which the module takes for a line. Change: a running booking has a running mean of its own; calls wait only where classes differ in worth. Open: in fleets with several worths those that wait still count as a line. The test first spends little, as a part's bucket starts empty.

--- a/src/control/demand.rs
+++ b/src/control/demand.rs
@@ -35,9 +35,17 @@
         Demands { round_s: round_ms / 1000.0, means: budgets.iter().map(mean).collect() }
     }
 
-    /// What to tell, from what was counted in the last round. A budget that is not known is told as counted.
+    /// What to tell, from what was counted in the last round. Bookings come and go: each has a mean while it runs, and its
+    /// floor is left to the grantor. Any other budget that is not known is told as counted.
     pub(super) fn told(&mut self, counted: Vec<Demand>) -> Vec<Demand> {
         let round_s = self.round_s;
+        let runs = |budget: BudgetId| counted.iter().any(|d| d.budget == budget);
+        self.means.retain(|m| m.budget.0 < BudgetId::BOOKED || runs(m.budget));
+        for budget in counted.iter().map(|d| d.budget).filter(|b| b.0 >= BudgetId::BOOKED) {
+            if self.means.iter().all(|m| m.budget != budget) {
+                self.means.push(Mean { budget, floor_per_s: 0.0, per_s: None, worth: 0.0 });
+            }
+        }
         let mut smooth = |demand: Demand| {
             let Some(mean) = self.means.iter_mut().find(|m| m.budget == demand.budget) else { return demand };
             let old = mean.per_s.unwrap_or(demand.per_s);
@@ -79,6 +87,19 @@
         assert!(spread < 1.7, "{spread}");
     }
 
+    /// Told as counted, a booking's parts swung from 3.6 to 15 a second at 11 a second and rounds of 150 ms.
+    #[test]
+    fn a_bookings_demand_is_freed_of_noise_while_it_runs() {
+        let mut d = demands();
+        let booked = |per_s| Demand { budget: BudgetId(BudgetId::BOOKED), per_s, worth: 1.0 };
+        let mut tell =
+            |i: u32| d.told(vec![booked(if i.is_multiple_of(2) { 20.0 / 3.0 } else { 40.0 / 3.0 })]);
+        let told: Vec<f64> = (0..60).map(|i| tell(i)[0].per_s).skip(10).collect();
+        assert!(told.iter().all(|t| (8.5..11.5).contains(t)), "{told:?}");
+        d.told(Vec::new());
+        assert_eq!(d.means.len(), 1, "one that is over is forgotten");
+    }
+
     #[test]
     fn a_change_is_told_at_once() {
         let mut d = demands();
--- a/src/engine/shares/held.rs
+++ b/src/engine/shares/held.rs
@@ -57,7 +57,13 @@
         // One that could not be paid within its time is told at once; and so is one that finds the call server pressed: to the
         // module what waits here is that server's line, so it would stay pressed by those that wait for it not to be.
         let (rate, dearer) = self.rate(payment);
-        let hold_ms = if dearer { HOLD_OTHERS_MS } else { HOLD_MS };
+        // Where all calls are worth the same nobody gains by waiting, and those that wait count as a line of the call
+        // server's: set-ups of a booking, paid already, would be refused for it.
+        let hold_ms = match (self.dear_from.is_finite(), dearer) {
+            (false, _) => 0.0,
+            (true, true) => HOLD_OTHERS_MS,
+            (true, false) => HOLD_MS,
+        };
         let wait_ms = (hold_ms - held_ms).min(left_ms - LEFT_MS);
         if room && (before as f64) < (rate * hold_ms / 1000.0).ceil() && wait_ms >= LOOK_MS {
             return Paid::Later(wait_ms, spare.scarcest);
--- a/src/engine/shares/tests.rs
+++ b/src/engine/shares/tests.rs
@@ -24,7 +24,8 @@
 }
 
 fn parts(budgets: &[Budget]) -> Parts {
-    Parts::new(Arc::new(Exchange::new(budgets)), 2, 7, 0.0)
+    // Of classes that differ in worth.
+    Parts { dear_from: 2.0, ..Parts::new(Arc::new(Exchange::new(budgets)), 2, 7, 0.0) }
 }
 
 fn set_up<'a>(server: &'a str, class: &'a str) -> Payment<'a> {
@@ -198,11 +199,11 @@
 /// An engine under these budgets, split evenly for good in a fleet of one, with an open connection to each of two call
 /// servers; its monotonic clock stands at 1,000 ms.
 fn engine(budgets: &[Budget]) -> Engine {
-    let settings = json!({"siblings": 1, "services": [{"name": "voice", "deadline_ms": 9000.0, "target_ms": 1500.0,
-        "worth": 1.0}], "ceilings": {"attempts_cap": 5, "dial_timeout_ms": 500.0, "retry_after": true,
+    let class = |name: &str, worth: f64| json!({"name": name, "deadline_ms": 9000.0, "target_ms": 1500.0, "worth": worth});
+    let settings = json!({"siblings": 1, "services": [class("voice", 1.0), class("other", 0.5)], "ceilings": {"attempts_cap": 5, "dial_timeout_ms": 500.0, "retry_after": true,
         "max_retry_after_ms": 2000.0, "open_cap": 100}, "rules": {"cold_from": 0.3, "cold_ms": 9000.0,
-        "fall_multiple": 2.5, "fall_ms": 1500.0}, "specifics": {"guard_ms": 300.0, "class_width": [1],
-        "pools_by_class": [[0, 1]]}});
+        "fall_multiple": 2.5, "fall_ms": 1500.0}, "specifics": {"guard_ms": 300.0, "class_width": [1, 1],
+        "pools_by_class": [[0, 1], [0, 1]]}});
     let text = settings.to_string();
     let (settings, _) = crate::settings::parse(text.as_bytes()).unwrap();
     let host = crate::settings::parse_host(text.as_bytes()).unwrap();
@@ -316,3 +317,15 @@
     (0..2).for_each(|_| out.extend(later(&mut engine, 10.0)));
     assert_eq!(engine.calls.out_at(server), 0, "{out:?}");
 }
+
+/// Those that waited counted as a line of the call server's, for which set-ups of a booking were refused.
+#[test]
+fn where_all_calls_are_worth_the_same_none_waits() {
+    let mut p = parts(&[budget(0, Spending::SetUps, None, None)]);
+    p.dear_from = f64::INFINITY;
+    give(&mut p, &[0], 9000.0);
+    let pay = |p: &mut Parts| p.pay(&set_up("s-a", "voice"), ServerId(1), true, (5000.0, 0.0));
+    assert_eq!(pay(&mut p), Paid::No, "nothing is left yet");
+    p.now = 200.0;
+    assert_eq!(pay(&mut p), Paid::Now);
+}
