Take signals over before any file is read, so that none sent during a start is lost

Cause: `serve` registered its signal handlers only after the command line, the configuration and the operators' files were read. A SIGHUP sent to all instances while one of them was just starting ended that one by the default action; a SIGTERM there ended it as a kill, not with success.

Change: `net/startup.rs` makes the runtime, registers the handlers (`net/signals.rs`) and only then reads the files, on a thread of their own; `driver::serve` takes the signals as a parameter. A SIGHUP of that time is acted on as soon as the program serves. SIGTERM and SIGINT end it at once with success as long as its files are being read: no caller is connected, so nothing is owed an answer; listening for the 0.7 s of a usual stop would only draw callers to a process that is about to end; and a read that hangs must not keep the program from ending. Between the files and the serving loop a stop is the usual one.

Tests: `tests/process/start_signals.rs`. The configuration is a FIFO; opening it for writing returns only once the program opens it for reading, which is the barrier. The rig's start is cut in two for it (`launch_on`, `wait_until_it_listens`).

--- a/src/main.rs
+++ b/src/main.rs
@@ -7,6 +7,8 @@
 use corkreach::fleet_audit::{Desired, Remedy};
 use corkreach::fronts::Fronts;
 use corkreach::limits::LimitSettings;
+use corkreach::net::driver::Decisions;
+use corkreach::net::startup::Inputs;
 use corkreach::recovery::{self, SiteSettings};
 use corkreach::version;
 use corkreach::{config, fleet_audit, logger, net};
@@ -278,30 +280,31 @@
     }
 }
 
+/// Reads everything that `serve` starts on, and starts the log.
+fn read_inputs(serve: Serve) -> Result<Inputs, String> {
+    let source = source(serve.config, serve.listen, serve.management)?;
+    let config = source.read()?;
+    let fronts = serve.fronts.or_else(|| std::env::var_os("GW_FRONTS").map(PathBuf::from));
+    let fronts_read = fronts.as_deref().map_or_else(|| Ok(Fronts::default()), Fronts::read)?;
+    let limits = serve.limits.or_else(|| std::env::var_os("GW_LIMITS").map(PathBuf::from));
+    let limits_read = limits.as_deref().map(LimitSettings::read).transpose()?;
+    let sites = serve.sites.or_else(|| std::env::var_os("GW_SITES").map(PathBuf::from));
+    let sites_read = sites.as_deref().map(SiteSettings::read).transpose()?;
+    let audit = serve.audit.or_else(|| std::env::var_os("GW_AUDIT").map(PathBuf::from));
+    let audit = audit.as_deref().map(AuditSettings::read).transpose()?;
+    let fleet = serve.fleet.or_else(|| std::env::var_os("GW_FLEET").map(PathBuf::from));
+    let read = |path: &PathBuf| ControlSettings::read(path).map(|settings| (settings, path.clone()));
+    let control = fleet.as_ref().map(read).transpose()?;
+    let [fronts, limits, sites, fleet] = [&fronts, &limits, &sites, &fleet].map(|path| path.as_deref());
+    let version = version::Version::new(config.digests.clone(), fronts, limits, sites, fleet)?;
+    logger::start(&config.name, serve.log)?;
+    let decisions = Decisions { limits: limits_read, sites: sites_read, control, audit, version };
+    Ok(Inputs { config, source, fronts: fronts_read, decisions })
+}
+
 fn run(command: Command) -> Result<(), String> {
     match command {
-        Command::Serve(serve) => {
-            let source = source(serve.config, serve.listen, serve.management)?;
-            let config = source.read()?;
-            let fronts = serve.fronts.or_else(|| std::env::var_os("GW_FRONTS").map(PathBuf::from));
-            let fronts_read = fronts.as_deref().map_or_else(|| Ok(Fronts::default()), Fronts::read)?;
-            let limits = serve.limits.or_else(|| std::env::var_os("GW_LIMITS").map(PathBuf::from));
-            let limits_read = limits.as_deref().map(LimitSettings::read).transpose()?;
-            let sites = serve.sites.or_else(|| std::env::var_os("GW_SITES").map(PathBuf::from));
-            let sites_read = sites.as_deref().map(SiteSettings::read).transpose()?;
-            let audit = serve.audit.or_else(|| std::env::var_os("GW_AUDIT").map(PathBuf::from));
-            let audit = audit.as_deref().map(AuditSettings::read).transpose()?;
-            let fleet = serve.fleet.or_else(|| std::env::var_os("GW_FLEET").map(PathBuf::from));
-            let read = |path: &PathBuf| ControlSettings::read(path).map(|settings| (settings, path.clone()));
-            let control = fleet.as_ref().map(read).transpose()?;
-            let [fronts, limits, sites, fleet] =
-                [&fronts, &limits, &sites, &fleet].map(|path| path.as_deref());
-            let version = version::Version::new(config.digests.clone(), fronts, limits, sites, fleet)?;
-            logger::start(&config.name, serve.log)?;
-            let decisions =
-                net::driver::Decisions { limits: limits_read, sites: sites_read, control, audit, version };
-            net::driver::run(config, source, fronts_read, decisions)
-        }
+        Command::Serve(serve) => net::startup::run(move || read_inputs(serve)),
         Command::Check(check) => {
             let config = source(check.config, None, None)?.read()?;
             println!(
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -2,6 +2,7 @@
 
 use super::listeners::{self, Heirs};
 use super::servers::Order;
+use super::signals::Signals;
 use super::{WRITE_QUEUE, callers, control, names, operators, peers, servers};
 use crate::audit::{AuditSettings, Writer};
 use crate::clock::{Clock, PULSE};
@@ -24,9 +25,8 @@
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, oneshot, watch};
-use tokio::task::{AbortHandle, JoinSet, LocalSet};
+use tokio::task::{AbortHandle, JoinSet};
 use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
 
 /// Events that may wait for the reducer; a connection that has more to say waits.
@@ -55,25 +55,20 @@
     pub version: Version,
 }
 
-/// Runs the border controller until it is stopped.
-pub fn run(config: Config, source: Source, fronts: Fronts, decisions: Decisions) -> Result<(), String> {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
-    LocalSet::new().block_on(&runtime, serve(config, source, fronts, decisions))
-}
-
-async fn serve(
+/// Serves until the program is told to stop, and for as long after that as a stop takes.
+///
+/// # Errors
+/// An address can't be listened on, or the audit folder can't be written.
+pub async fn serve(
     mut config: Config,
     source: Source,
     fronts: Fronts,
     mut decisions: Decisions,
+    signals: Signals,
 ) -> Result<(), String> {
-    // First of all: a SIGHUP without a handler ends the program.
-    let mut hangups = signal(SignalKind::hangup()).map_err(|e| format!("signals: {e}"))?;
+    let Signals { mut hangups, mut stops, mut interrupts } = signals;
     let bound = |at| listeners::bind(at).map_err(|e| format!("listening on {at}: {e}"));
     let listener = bound(config.listen)?;
-    let mut stops = signal(SignalKind::terminate()).map_err(|e| format!("signals: {e}"))?;
-    let mut interrupts = signal(SignalKind::interrupt()).map_err(|e| format!("signals: {e}"))?;
     let (sender, mut events) = mpsc::channel(EVENT_QUEUE);
     let (names, at) = watch::channel(config.names);
     let mut text_listener = match fronts.text.listen {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -10,6 +10,8 @@
 pub mod operators;
 pub mod peers;
 pub mod servers;
+pub mod signals;
+pub mod startup;
 
 use std::time::{Duration, Instant};
 
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -2,6 +2,7 @@
 
 mod rig;
 mod speech;
+mod start_signals;
 mod text;
 
 use rig::*;
--- a/tests/process/rig.rs
+++ b/tests/process/rig.rs
@@ -5,13 +5,18 @@
 use hickory_proto::rr::{Name, RData, Record};
 use serde_json::{Value, json};
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener, TcpStream, UdpSocket};
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 /// Whatever a test waits for comes well within this, or it fails.
 pub const PATIENCE: Duration = Duration::from_secs(15);
+/// The configuration's file in the folder of a process.
+const CONFIG_FILE: &str = "config.json";
+/// The address of a process that has told none yet; nobody can connect there.
+const NOT_TOLD: SocketAddr = SocketAddr::V4(SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0));
 pub const SDP: &str =
     "9d41c07a5be2f318\r\nc=IN IP4 10.4.7.9\r\nm=audio 31000 RTP/AVP 0 8 101\r\ns=\"\u{e6}\"\r\n";
 
@@ -403,11 +408,28 @@
     pub child: Child,
     addr: SocketAddr,
     management: SocketAddr,
-    folder: std::path::PathBuf,
+    folder: PathBuf,
     config: Value,
 }
 
 impl Program {
+    /// Waits until the process tells its addresses; with `text_callers` it tells the text callers' one first.
+    pub fn wait_until_it_listens(&mut self, text_callers: bool) -> Option<SocketAddr> {
+        let (text, addr, management) = addresses(&mut self.child, text_callers);
+        (self.addr, self.management) = (addr, management);
+        text
+    }
+
+    /// The text of the configuration that it is started on.
+    pub fn file(&self) -> String {
+        self.config.to_string()
+    }
+
+    /// Where its configuration is.
+    pub fn config_path(&self) -> PathBuf {
+        self.folder.join(CONFIG_FILE)
+    }
+
     pub fn caller(&self) -> Caller {
         Caller::connect(self.addr)
     }
@@ -441,7 +463,8 @@
 
     /// Another process of the program, at the same address for callers.
     pub fn successor(&self) -> Program {
-        let (child, addr, management) = spawn(&self.folder, &["serve", "--listen", &self.addr.to_string()]);
+        let mut child = spawn(&self.folder, &["serve", "--listen", &self.addr.to_string()]);
+        let (_, addr, management) = addresses(&mut child, false);
         assert_eq!(addr, self.addr);
         Program { child, addr, management, folder: self.folder.clone(), config: self.config.clone() }
     }
@@ -450,7 +473,7 @@
         self.signal("-TERM");
     }
 
-    fn signal(&self, name: &str) {
+    pub fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
         assert!(Command::new("kill").args([name, &pid]).status().unwrap().success());
     }
@@ -466,7 +489,7 @@
     pub fn reload(&self, text: &str) {
         let new = self.folder.join("new.json");
         std::fs::write(&new, text).unwrap();
-        std::fs::rename(new, self.folder.join("config.json")).unwrap();
+        std::fs::rename(new, self.config_path()).unwrap();
         self.signal("-HUP");
     }
 
@@ -521,6 +544,20 @@
     fronts: Option<&str>,
     text_callers: bool,
 ) -> (Program, Names, Option<SocketAddr>) {
+    let write = |path: &Path, config: &str| std::fs::write(path, config).unwrap();
+    let (mut program, names) = launch_on(servers, sockets, fronts, write);
+    let text = program.wait_until_it_listens(text_callers);
+    (program, names, text)
+}
+
+/// Starts the program on the file that `provide` makes at the configuration's path, given the configuration's text.
+/// It need not listen yet: `Program::wait_until_it_listens` comes before anything else is asked of it.
+pub fn launch_on(
+    servers: &[&Server],
+    sockets: usize,
+    fronts: Option<&str>,
+    provide: impl FnOnce(&Path, &str),
+) -> (Program, Names) {
     let names = Names::start();
     let list: Vec<Listed> = servers.iter().map(|s| s.listed.clone()).collect();
     names.state.lock().unwrap().list = list.clone();
@@ -536,7 +573,7 @@
         "known": {"seq": 1, "results": [{"seq": 1, "fleet": {"version": 1, "full": true, "servers": known}}]}});
     let folder = std::env::temp_dir().join(format!("corkreach-{}-{}", std::process::id(), names.addr.port()));
     std::fs::create_dir_all(&folder).unwrap();
-    std::fs::write(folder.join("config.json"), config.to_string()).unwrap();
+    provide(&folder.join(CONFIG_FILE), &config.to_string());
     let mut arguments = vec!["serve".to_owned()];
     let all_text = "text:\n  servers:\n    all: true\n";
     let text = servers.iter().any(|s| s.text);
@@ -546,8 +583,8 @@
         arguments.extend(["--fronts".to_owned(), path.to_str().unwrap().to_owned()]);
     }
     let arguments: Vec<&str> = arguments.iter().map(String::as_str).collect();
-    let (child, text, addr, management) = spawn_text(&folder, &arguments, text_callers);
-    (Program { child, addr, management, folder, config }, names, text)
+    let child = spawn(&folder, &arguments);
+    (Program { child, addr: NOT_TOLD, management: NOT_TOLD, folder, config }, names)
 }
 
 /// The same with an operator's file of fronts; with `text_callers` it says where text callers connect.
@@ -559,25 +596,20 @@
     launch(servers, 1024, Some(fronts), text_callers)
 }
 
-/// Starts a process with the configuration and the `$TMPDIR` in this folder; it tells its two addresses.
-fn spawn(folder: &std::path::Path, arguments: &[&str]) -> (Child, SocketAddr, SocketAddr) {
-    let (child, _, addr, management) = spawn_text(folder, arguments, false);
-    (child, addr, management)
-}
-
-/// The same; with `text`, the process tells the text callers' address first.
-fn spawn_text(
-    folder: &std::path::Path,
-    arguments: &[&str],
-    text: bool,
-) -> (Child, Option<SocketAddr>, SocketAddr, SocketAddr) {
+/// Starts a process with the configuration and the `$TMPDIR` in this folder.
+fn spawn(folder: &Path, arguments: &[&str]) -> Child {
     let mut command = run(arguments);
-    command.env("GW_CONFIG", folder.join("config.json")).env("TMPDIR", folder);
+    command.env("GW_CONFIG", folder.join(CONFIG_FILE)).env("TMPDIR", folder);
     // A successor speaks as its forerunner.
     if folder.join("fronts.yaml").exists() {
         command.env("GW_FRONTS", folder.join("fronts.yaml"));
     }
-    let mut child = command.stdin(Stdio::null()).stderr(Stdio::piped()).spawn().unwrap();
+    command.stdin(Stdio::null()).stderr(Stdio::piped()).spawn().unwrap()
+}
+
+/// What a process tells of its addresses, for callers and for operators; with `text`, it tells the text callers'
+/// address first.
+fn addresses(child: &mut Child, text: bool) -> (Option<SocketAddr>, SocketAddr, SocketAddr) {
     let mut log = BufReader::new(child.stderr.take().unwrap());
     let mut told = |what: &str| {
         let mut line = String::new();
@@ -595,5 +627,5 @@
         Some(path) => std::fs::File::create(path).and_then(|mut file| std::io::copy(&mut log, &mut file)),
         None => std::io::copy(&mut log, &mut std::io::sink()),
     });
-    (child, text, addr, management)
+    (text, addr, management)
 }
