--- a/src/engine/shares/tests.rs
+++ b/src/engine/shares/tests.rs
@@ -329,3 +329,26 @@
     p.now = 200.0;
     assert_eq!(pay(&mut p), Paid::Now);
 }
+
+/// A caller leaves while its set-up waits for a budget: by closing its connection, shutting its side of it, or giving
+/// the set-up up. Once the budget has something again, nothing goes out for it.
+#[test]
+fn a_set_up_that_waits_for_a_budget_is_not_sent_for_a_caller_that_left() {
+    let of =
+        |id, server| Budget { burst: 1.0, floor: 1.0, ..budget(id, Spending::SetUps, Some(server), None) };
+    let conn = CallerConn(1);
+    let gives_up = Event::Caller { conn, read_at: BORN, message: FromCaller::Release(CallId(3)) };
+    let closes = Event::CallerClosed { conn, unsent: Vec::new() };
+    for leaves in [gives_up, closes, Event::CallerEof(conn)] {
+        let mut engine = engine(&[of(0, "s-a"), of(1, "s-b")]);
+        for call in [1, 2] {
+            let out = offer(&mut engine, call, 0);
+            assert_eq!(sent_to(&engine, &out).len(), 1);
+        }
+        assert_eq!(offer(&mut engine, 3, 0), [], "it waits");
+        let mut out = Vec::new();
+        engine.step(engine.now, leaves.clone(), &mut out);
+        (0..30).for_each(|_| out.extend(later(&mut engine, 10.0)));
+        assert_eq!(sent_to(&engine, &out), Vec::<String>::new(), "{leaves:?}");
+    }
+}
