--- a/src/codec/h248/callers.rs
+++ b/src/codec/h248/callers.rs
@@ -228,6 +228,11 @@
                     self.own, call.0
                 ));
             }
+            ToCaller::Progress(call) => {
+                if let Some(asked) = self.set_ups.get(&call) {
+                    out.push_str(&format!("Pending = {} {{}}\n", asked.transaction));
+                }
+            }
             ToCaller::Heard(call) => {
                 self.standing.take(&call);
                 let asked = self.releases.take(&call);
--- a/src/engine/callers.rs
+++ b/src/engine/callers.rs
@@ -1,8 +1,11 @@
 //! Callers' connections: which are kept, what one of them may take, and on which a caller is told.
+//!
+//! A connection without a set-up is closed in two steps: the engine asks for it (`Effect::CloseIdleCaller`) and goes on
+//! hearing it until the connection's task, which alone sees what has come in, says that it is closed.
 
 use super::operators::FIRST_WORD_MS;
-use super::{CallerConn, Due, Effect, Engine, Fault, FromCaller, Release, ToCaller};
-use crate::interface::CallId;
+use super::{CallerConn, Due, Effect, Engine, Fault, FromCaller, LAST_LOOK_MS, Release, ToCaller};
+use crate::interface::{self as module, CallId};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// A connection that has asked nothing whole for so long is closed, ms. Who connects and says nothing, or half a
@@ -23,10 +26,17 @@
 /// Each goes out on so many connections that may be callers' or not, until one says that it heard it: a crowd's are not
 /// to have them all.
 const COPIES_MAX: u8 = 3;
+/// A caller that has shut its side may listen still or be gone: while a set-up of it is open it is looked at so often,
+/// ms. Two looks, within the 0.1 s after which nothing may be done for a caller that is gone.
+const SHUT_LOOK_MS: f64 = 40.0;
 
 struct Conn {
     /// The caller may send more on it.
     open: bool,
+    /// It is to make room, and closes unless its caller is heard first.
+    leaving: bool,
+    /// Messages heard on it.
+    heard: u64,
     /// It has sent a whole message.
     asked: bool,
     /// It has brought a set-up that was taken: whoever holds it has calls, and hears of their ends.
@@ -58,13 +68,31 @@
     pub fn any(&self) -> bool {
         !self.conns.is_empty()
     }
+
+    /// Whether the caller has shut its side of this connection.
+    pub fn has_shut(&self, conn: CallerConn) -> bool {
+        self.conns.get(&conn).is_some_and(|c| !c.open)
+    }
+
+    /// Connections that are to stay.
+    fn staying(&self) -> usize {
+        self.conns.values().filter(|c| !c.leaving).count()
+    }
 }
 
 impl Engine {
     pub(super) fn caller_opened(&mut self, conn: CallerConn, out: &mut Vec<Effect>) {
-        let (opened_at, heard_at) = (self.now, self.now);
-        let new =
-            Conn { open: true, asked: false, calls: false, opened_at, heard_at, faults: 0, passed_on: 0 };
+        let new = Conn {
+            open: true,
+            leaving: false,
+            heard: 0,
+            asked: false,
+            calls: false,
+            opened_at: self.now,
+            heard_at: self.now,
+            faults: 0,
+            passed_on: 0,
+        };
         self.callers.conns.insert(conn, new);
         self.timers.set(self.now + SILENT_MS, Due::CallerSilent(conn));
         // Releases that found no caller have waited for this one. Whether it is a caller only a set-up shows.
@@ -75,8 +103,12 @@
                 message: ToCaller::Released { call: owed.call, how: owed.how },
             });
         }
-        if self.callers.conns.len() > self.host.callers_max {
-            self.make_room(conn, out);
+        self.make_room_if_crowded(conn, out);
+    }
+
+    fn make_room_if_crowded(&mut self, new: CallerConn, out: &mut Vec<Effect>) {
+        if self.callers.staying() > self.host.callers_max {
+            self.make_room(new, out);
         }
     }
 
@@ -87,7 +119,8 @@
     fn make_room(&mut self, new: CallerConn, out: &mut Vec<Effect>) {
         let busy: BTreeSet<CallerConn> = self.calls.waiting_on().collect();
         let standing: BTreeSet<CallerConn> = self.calls.standing_on().collect();
-        let idle = self.callers.conns.iter().filter(|(id, _)| **id != new && !busy.contains(id));
+        let idle =
+            self.callers.conns.iter().filter(|(id, c)| **id != new && !c.leaving && !busy.contains(id));
         let idle: Vec<(CallerConn, &Conn)> = idle.map(|(&id, c)| (id, c)).collect();
         let silent = idle.iter().filter(|(_, c)| !c.calls && !c.asked).count();
         let asked = idle.iter().filter(|(_, c)| !c.calls && c.asked).count();
@@ -99,19 +132,29 @@
         let first = idle
             .iter()
             .min_by(|(i, a), (j, b)| worth(*i, a).cmp(&worth(*j, b)).then(a.heard_at.total_cmp(&b.heard_at)));
-        if let Some(conn) = first.map(|&(id, _)| id) {
-            self.close_caller(conn, out);
+        let Some(conn) = first.map(|&(id, _)| id) else { return };
+        if let Some(c) = self.callers.conns.get_mut(&conn) {
+            c.leaving = true;
         }
+        self.close_if_unheard(conn, false, out);
     }
 
     pub(super) fn caller_silent(&mut self, conn: CallerConn, out: &mut Vec<Effect>) {
         if self.callers.conns.get(&conn).is_some_and(|c| !c.asked) {
-            self.close_caller(conn, out);
+            self.close_if_unheard(conn, false, out);
         }
     }
 
-    /// The one place where a connection is closed from here. What still comes on it was never taken up: a caller
-    /// whose set-up crossed the close sends it again on a new connection.
+    /// Closes a connection on which no set-up is open, unless its caller has sent a message that was not heard yet: a
+    /// caller sends a set-up again only if it crossed the close by a moment, and that one may have lain for longer.
+    /// With `keep_partial` a part of a message keeps the connection as well.
+    fn close_if_unheard(&mut self, conn: CallerConn, keep_partial: bool, out: &mut Vec<Effect>) {
+        if let Some(c) = self.callers.conns.get(&conn) {
+            out.push(Effect::CloseIdleCaller { conn, heard: c.heard, keep_partial });
+        }
+    }
+
+    /// Closes a connection whatever may come on it: its caller has shut it, or sends what can't be taken up.
     fn close_caller(&mut self, conn: CallerConn, out: &mut Vec<Effect>) {
         if self.callers.conns.remove(&conn).is_some() {
             out.push(Effect::CloseCaller(conn));
@@ -123,13 +166,38 @@
         if let Some(c) = self.callers.conns.get_mut(&conn) {
             c.open = false;
         }
+        self.look_at_shut(conn, out);
         self.close_if_done(conn, out);
     }
 
+    /// A caller that has shut its side may be gone. No attempt begins for it any more: its set-ups that are not out are
+    /// failed. What is out is waited for, as the caller may still listen; a progress message, which means nothing,
+    /// shows whether it does: the system of one that is gone resets the connection, and its set-ups are given up.
+    pub(super) fn look_at_shut(&mut self, conn: CallerConn, out: &mut Vec<Effect>) {
+        if !self.callers.has_shut(conn) {
+            return;
+        }
+        for call in self.calls.not_out_from(conn) {
+            self.news.push_back(module::Event::CallerLeft(call));
+            self.answer(call, ToCaller::Failed(call), out);
+        }
+        if let Some(call) = self.calls.first_waiting_on(conn) {
+            out.push(Effect::ToCaller { conn, message: ToCaller::Progress(call) });
+            self.timers.set(self.now + SHUT_LOOK_MS, Due::CallerShut(conn));
+        }
+    }
+
+    /// Closes a connection with nothing open on it if its caller has shut it, or if idle ones are closed now.
     pub(super) fn close_if_done(&mut self, conn: CallerConn, out: &mut Vec<Effect>) {
         let Some(c) = self.callers.conns.get(&conn) else { return };
-        if (!c.open || self.closes_idle()) && !self.in_use(!c.open).contains(&conn) {
+        let shut = !c.open;
+        if !(shut || self.closes_idle()) || self.in_use(shut).contains(&conn) {
+            return;
+        }
+        if shut {
             self.close_caller(conn, out);
+        } else {
+            self.close_if_unheard(conn, true, out);
         }
     }
 
@@ -213,6 +281,11 @@
         // A connection that was closed from here is no longer heard.
         let Some(c) = self.callers.conns.get_mut(&conn) else { return };
         (c.asked, c.heard_at) = (true, self.now);
+        c.heard += 1;
+        if std::mem::take(&mut c.leaving) {
+            // It stays, so another is to go.
+            self.make_room_if_crowded(conn, out);
+        }
         log::trace!("caller {}: {message:?}", conn.0);
         match message {
             FromCaller::SetUp(set_up) => {
@@ -271,10 +344,11 @@
     }
 
     /// Connections with a set-up open, and in a drain those with a standing call: its caller may have no other on
-    /// which to hear of its end. A successor can tell of it as well, and a caller that has shut its side asked for no
-    /// more.
+    /// which to hear of its end. The next process at this address can tell of it as well, and a caller that has shut its
+    /// side asked for no more.
     fn in_use(&self, shut: bool) -> BTreeSet<CallerConn> {
-        let standing = self.calls.standing_on().filter(|_| !shut && !self.successor);
+        let ends = self.successor || self.leaving_since.is_some();
+        let standing = self.calls.standing_on().filter(|_| !shut && !ends);
         self.calls.waiting_on().chain(standing).collect()
     }
 
@@ -285,13 +359,14 @@
             return;
         }
         let busy = self.in_use(false);
+        let first_word_ms = if self.leaving_since.is_some() { LAST_LOOK_MS } else { FIRST_WORD_MS };
         let idle = |id: &CallerConn, c: &Conn| {
-            !busy.contains(id) && (c.asked || self.now - c.opened_at >= FIRST_WORD_MS)
+            !busy.contains(id) && (c.asked || self.now - c.opened_at >= first_word_ms)
         };
         let idle: Vec<_> =
             self.callers.conns.iter().filter(|(id, c)| idle(id, c)).map(|(&id, _)| id).collect();
         for conn in idle {
-            self.close_caller(conn, out);
+            self.close_if_unheard(conn, true, out);
         }
     }
 }
--- a/src/engine/calls.rs
+++ b/src/engine/calls.rs
@@ -102,6 +102,17 @@
         self.live.values().filter(|c| !c.answered).map(|c| c.conn)
     }
 
+    /// A set-up that waits for its answer on this connection.
+    pub fn first_waiting_on(&self, conn: CallerConn) -> Option<CallId> {
+        self.live.iter().find(|(_, c)| c.conn == conn && !c.answered).map(|(&id, _)| id)
+    }
+
+    /// The set-ups of this connection that wait for their answer and are at no call server.
+    pub fn not_out_from(&self, conn: CallerConn) -> Vec<CallId> {
+        let is_out = |c: &Call| c.attempt.as_ref().is_some_and(|a| matches!(a.stage, Stage::Out(_)));
+        self.ids(|c| c.conn == conn && !c.answered && !is_out(c))
+    }
+
     /// The connections of the calls that stand.
     pub fn standing_on(&self) -> impl Iterator<Item = CallerConn> {
         self.live.values().filter(|c| c.standing.is_some()).map(|c| c.conn)
@@ -348,6 +359,11 @@
             log::error!("call {:016x} may not be sent", id.0);
             return self.tell_ended(id, server, Outcome::NotSent, false, LoadReport::default());
         };
+        if self.callers.has_shut(call.conn) {
+            // It may be gone: no attempt begins for it any more.
+            self.tell_ended(id, server, Outcome::NotSent, true, LoadReport::default());
+            return self.answer(id, ToCaller::Failed(id), out);
+        }
         let number = call.attempts;
         let paced =
             self.limits.is_some() || self.shares.as_ref().is_some_and(super::shares::Parts::pace_dials);
--- a/src/engine/messages.rs
+++ b/src/engine/messages.rs
@@ -161,6 +161,8 @@
         call: CallId,
         passed: bool,
     },
+    /// The set-up is still worked on: it asks nothing of its caller.
+    Progress(CallId),
 }
 
 /// How a call server ended a call.
@@ -367,6 +369,16 @@
         message: ToCaller,
     },
     CloseCaller(CallerConn),
+    /// To be closed unless its caller has sent something more: the connection's task decides at the socket.
+    CloseIdleCaller {
+        conn: CallerConn,
+        /// Messages from it that the engine has taken up: with more on their way the connection is not idle.
+        heard: u64,
+        /// Whether part of a message keeps it open as well as a whole one.
+        keep_partial: bool,
+    },
+    /// No further connection is to be taken; those that wait to be taken up are.
+    StopListening,
     Dial {
         conn: ServerConn,
         addr: SocketAddr,
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -40,6 +40,10 @@
 
 /// After a planned stop begins, set-ups are taken for so long, ms: the front still sends some.
 const STOP_TAKES_MS: f64 = 700.0;
+/// At the end of a planned stop callers' connections are closed as they are found idle. They are looked at so often, and
+/// after this the program ends all the same, ms.
+const LAST_LOOK_MS: f64 = 25.0;
+const LEAVES_IN_MS: f64 = 100.0;
 /// A start waits no longer for the call servers' first words before tests pass, ms.
 const READY_ANYWAY_MS: f64 = 3000.0;
 /// A call server's liveness is looked at so often, ms.
@@ -64,11 +68,15 @@
     ProbeOver(u64),
     /// The caller's connection should have asked something by now.
     CallerSilent(CallerConn),
+    /// The caller has shut its side, and may be gone.
+    CallerShut(CallerConn),
     Look,
     /// A returning site becomes a candidate, or ceases to be one.
     Sites,
     /// Set-ups are taken no more.
     Stopped,
+    /// Callers' connections are looked at once more before the end.
+    LastLook,
 }
 
 fn worths(settings: &Settings) -> Vec<f64> {
@@ -109,6 +117,8 @@
     now: f64,
     started: f64,
     stopping: Option<f64>,
+    /// All that was taken is answered, and callers' connections are being closed, since then.
+    leaving_since: Option<f64>,
     /// The program that takes this one's place is there already.
     successor: bool,
     /// An operator ordered the drain then.
@@ -152,6 +162,7 @@
             now,
             started: now,
             stopping: None,
+            leaving_since: None,
             successor: false,
             out_of_service: None,
             shut_out: false,
@@ -217,10 +228,7 @@
             self.fire(due, out);
             self.settle(out);
         }
-        if self.may_exit() && !self.exiting {
-            self.exiting = true;
-            out.push(Effect::Exit);
-        }
+        self.exit_if_done(out);
     }
 
     /// Hands the module its news until it has nothing more to say.
@@ -268,6 +276,7 @@
             Due::Probe(server) => self.send_probe(server, out),
             Due::ProbeOver(id) => self.probe_over(id),
             Due::CallerSilent(conn) => self.caller_silent(conn, out),
+            Due::CallerShut(conn) => self.look_at_shut(conn, out),
             Due::Look => {
                 self.look(out);
                 self.look_at_callers(out);
@@ -277,6 +286,10 @@
             }
             Due::Sites => self.sites_turned(),
             Due::Stopped => log::info!("set-ups are taken no more"),
+            Due::LastLook => {
+                self.close_idle(out);
+                self.timers.set(self.now + LAST_LOOK_MS, Due::LastLook);
+            }
         }
     }
 
@@ -317,9 +330,31 @@
         self.stopping.is_none_or(|at| self.now - at < STOP_TAKES_MS)
     }
 
-    /// With a successor there is nothing to wait for but the callers that are here.
-    fn may_exit(&self) -> bool {
-        let left = if self.successor { !self.callers.any() } else { !self.takes_calls() };
-        self.stopping.is_some() && left && self.calls.none_in_set_up()
+    /// All that was taken is answered, and nothing more is taken up here.
+    fn all_answered(&self) -> bool {
+        let takes_none = self.successor || !self.takes_calls();
+        self.stopping.is_some() && takes_none && self.calls.none_in_set_up()
+    }
+
+    /// Ends the program once all is answered and callers' connections are closed. What lies unread there, or waits to
+    /// be accepted, is answered first: the program may have stood still while it came. With a successor a connection
+    /// may still bring something for a while, and is waited for.
+    fn exit_if_done(&mut self, out: &mut Vec<Effect>) {
+        if self.exiting || !self.all_answered() {
+            return;
+        }
+        if self.leaving_since.is_none() && !self.successor {
+            self.leaving_since = Some(self.now);
+            out.push(Effect::StopListening);
+            self.close_idle(out);
+            self.timers.set(self.now + LAST_LOOK_MS, Due::LastLook);
+            // Whoever waited to be accepted is heard before the end.
+            return;
+        }
+        let late = self.leaving_since.is_some_and(|at| self.now - at >= LEAVES_IN_MS);
+        if late || !self.callers.any() {
+            self.exiting = true;
+            out.push(Effect::Exit);
+        }
     }
 }
--- a/src/engine/operators.rs
+++ b/src/engine/operators.rs
@@ -52,7 +52,7 @@
     /// Callers' connections are closed as they fall idle: what comes next is to go elsewhere.
     pub(super) fn closes_idle(&self) -> bool {
         let drains = self.out_of_service.is_some_and(|at| self.now - at >= FRONT_NOTICES_MS);
-        drains || (self.stopping.is_some() && self.successor)
+        drains || self.leaving_since.is_some() || (self.stopping.is_some() && self.successor)
     }
 
     /// Whether a drain still takes set-ups.
--- a/src/net/callers.rs
+++ b/src/net/callers.rs
@@ -7,12 +7,13 @@
 use crate::engine::{CallerConn, Event, Fault, FromCaller, Release, SetUp, ToCaller};
 use crate::interface::CallId;
 use bytes::{Buf, BufMut, BytesMut};
-use futures_util::{SinkExt, StreamExt};
+use futures_util::{FutureExt, SinkExt, StreamExt};
 use std::io;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
+use tokio::task::yield_now;
 use tokio::time::timeout;
 use tokio_util::codec::{Decoder, Encoder, Framed};
 
@@ -169,6 +170,7 @@
                 (RELEASE, call)
             }
             ToCaller::Heard(call) => (HEARD, call),
+            ToCaller::Progress(call) => (PROGRESS, call),
             ToCaller::Tested { call, passed } => {
                 put(CAUSE, &[u8::from(passed)])?;
                 (TESTED, call)
@@ -217,68 +219,171 @@
     Ok(())
 }
 
+/// What the engine wants of a caller's connection; without further orders it is closed.
+#[derive(Debug)]
+pub enum Order {
+    Write(ToCaller),
+    CloseIfIdle(IdleCheck),
+}
+
+/// When a connection counts as idle, as in [`crate::engine::Effect::CloseIdleCaller`].
+#[derive(Clone, Copy, Debug)]
+pub struct IdleCheck {
+    pub heard: u64,
+    pub keep_partial: bool,
+}
+
+/// Whether a connection goes on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Connection {
+    GoesOn,
+    Ends,
+}
+
 /// Serves one connection until either side ends it. The task owns the stream; the engine closes it by letting
-/// go of the queue's other end.
+/// go of the queue's other end, or by an order that leaves it open if something has come in.
 pub async fn serve<C: CallerFront>(
     stream: TcpStream,
     codec: C,
     conn: CallerConn,
-    mut queue: mpsc::Receiver<ToCaller>,
+    mut queue: mpsc::Receiver<Order>,
     events: mpsc::Sender<Event>,
     clock: Clock,
 ) {
-    let mut framed = Framed::new(stream, codec);
-    let mut halves = HalfMessages::new(HALF_MAX);
-    let mut reading = true;
+    let framed = Framed::new(stream, codec);
+    let mut link = CallerLink {
+        framed,
+        conn,
+        events,
+        clock,
+        halves: HalfMessages::new(HALF_MAX),
+        reading: true,
+        passed_on: 0,
+    };
     let mut unsent = Vec::new();
     loop {
-        tokio::select! {
-            message = queue.recv() => {
-                let Some(message) = message else { break };
-                let mut batch = vec![message];
-                while let Ok(message) = queue.try_recv() {
-                    batch.push(message);
-                }
-                if let Err(e) = write(&mut framed, &batch).await {
+        let next = tokio::select! {
+            order = queue.recv() => {
+                let Some(order) = order else { break };
+                let (batch, check) = take_orders(order, &mut queue);
+                if let Err(e) = write(&mut link.framed, &batch).await {
                     log::debug!("caller {}: {e}", conn.0);
                     unsent = batch;
                     break;
                 }
-            }
-            () = halves.due(), if reading => {
-                if let Err(e) = halves.look(framed.read_buffer()) {
-                    log::debug!("caller {}: {e}", conn.0);
-                    break;
-                }
-            }
-            message = framed.next(), if reading => {
-                halves.got_whole();
-                let event = match message {
-                    Some(Ok(message)) => Event::Caller { conn, read_at: clock.read_at(), message },
-                    Some(Err(e)) => {
-                        log::debug!("caller {}: {e}", conn.0);
-                        if let Some(last) = framed.codec().farewell(&e) {
-                            let _ = timeout(LAST_WORD, last_word(framed.get_mut(), &last)).await;
-                        }
-                        break;
-                    }
-                    None => {
-                        reading = false;
-                        Event::CallerEof(conn)
-                    }
-                };
-                if events.send(event).await.is_err() {
-                    break;
+                match check {
+                    Some(check) => link.close_if_idle(check).await,
+                    None => Connection::GoesOn,
                 }
             }
+            () = link.halves.due(), if link.reading => link.look_at_halves(),
+            message = link.framed.next(), if link.reading => link.pass_on(message).await,
+        };
+        if next == Connection::Ends {
+            break;
         }
     }
     queue.close();
-    while let Ok(message) = queue.try_recv() {
-        unsent.push(message);
+    while let Ok(order) = queue.try_recv() {
+        if let Order::Write(message) = order {
+            unsent.push(message);
+        }
+    }
+    link.end(unsent).await;
+}
+
+/// This order and those that wait behind it: what is to be written, and whether the connection is to be closed after it.
+fn take_orders(first: Order, queue: &mut mpsc::Receiver<Order>) -> (Vec<ToCaller>, Option<IdleCheck>) {
+    let (mut batch, mut check) = (Vec::new(), None);
+    let mut next = Some(first);
+    while let Some(order) = next {
+        match order {
+            Order::Write(message) => batch.push(message),
+            Order::CloseIfIdle(wanted) => check = Some(wanted),
+        }
+        next = queue.try_recv().ok();
+    }
+    (batch, check)
+}
+
+/// A caller's connection, as its task holds it.
+struct CallerLink<C> {
+    framed: Framed<TcpStream, C>,
+    conn: CallerConn,
+    events: mpsc::Sender<Event>,
+    clock: Clock,
+    halves: HalfMessages,
+    /// The caller has not shut its side.
+    reading: bool,
+    /// Messages that the engine hears, or will.
+    passed_on: u64,
+}
+
+impl<C: CallerFront> CallerLink<C> {
+    /// Hands on what was read.
+    async fn pass_on(&mut self, message: Option<io::Result<FromCaller>>) -> Connection {
+        self.halves.got_whole();
+        let conn = self.conn;
+        let event = match message {
+            Some(Ok(message)) => {
+                self.passed_on += 1;
+                Event::Caller { conn, read_at: self.clock.read_at(), message }
+            }
+            Some(Err(e)) => {
+                self.say_farewell(&e).await;
+                return Connection::Ends;
+            }
+            None => {
+                self.reading = false;
+                Event::CallerEof(conn)
+            }
+        };
+        match self.events.send(event).await {
+            Ok(()) => Connection::GoesOn,
+            Err(_) => Connection::Ends,
+        }
+    }
+
+    async fn say_farewell(&mut self, error: &io::Error) {
+        log::debug!("caller {}: {error}", self.conn.0);
+        if let Some(last) = self.framed.codec().farewell(error) {
+            let _ = timeout(LAST_WORD, last_word(self.framed.get_mut(), &last)).await;
+        }
+    }
+
+    fn look_at_halves(&mut self) -> Connection {
+        match self.halves.look(self.framed.read_buffer()) {
+            Ok(()) => Connection::GoesOn,
+            Err(e) => {
+                log::debug!("caller {}: {e}", self.conn.0);
+                Connection::Ends
+            }
+        }
+    }
+
+    /// The engine takes the connection for idle. It is, unless a message is on its way there or has come in unread.
+    async fn close_if_idle(&mut self, check: IdleCheck) -> Connection {
+        if check.heard != self.passed_on {
+            return Connection::GoesOn;
+        }
+        if !self.reading {
+            return Connection::Ends;
+        }
+        // One turn of the reactor, which does not know yet what came in while the program stood still.
+        yield_now().await;
+        match self.framed.next().now_or_never() {
+            Some(message) => self.pass_on(message).await,
+            None if check.keep_partial && !self.framed.read_buffer().is_empty() => Connection::GoesOn,
+            None => Connection::Ends,
+        }
+    }
+
+    /// Closes the connection, then says so.
+    async fn end(self, unsent: Vec<ToCaller>) {
+        let CallerLink { framed, conn, events, .. } = self;
+        drop(framed);
+        let _ = events.send(Event::CallerClosed { conn, unsent }).await;
     }
-    drop(framed);
-    let _ = events.send(Event::CallerClosed { conn, unsent }).await;
 }
 
 async fn write<C: CallerFront>(framed: &mut Framed<TcpStream, C>, batch: &[ToCaller]) -> io::Result<()> {
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -1,7 +1,6 @@
 //! Performs the reducer's effects: one queue of events in, one clock, one loop.
 
 use super::listeners::{self, Heirs};
-use super::servers::Order;
 use super::{WRITE_QUEUE, callers, control, names, operators, peers, servers};
 use crate::audit::{AuditSettings, Writer};
 use crate::clock::{Clock, PULSE};
@@ -11,7 +10,7 @@
 use crate::control::{ControlSettings, Place};
 use crate::engine::{
     CallerConn, Effect, Engine, Event, OperatorAnswer, OperatorAsk, OperatorConn, PeerReport, ServerConn,
-    Standing, ToCaller,
+    Standing,
 };
 use crate::fronts::Fronts;
 use crate::limits::{LimitSettings, Limits};
@@ -142,6 +141,9 @@
             _ = interrupts.recv() => driver.stop(&mut listener, &mut text_listener, &heirs),
             () = sleep(Duration::from_secs_f64(wait / 1000.0)) => driver.step(Event::Tick),
         }
+        if driver.stops_listening {
+            driver.stop_listening(&mut listener, &mut text_listener);
+        }
     }
     driver.finish().await;
     Ok(())
@@ -194,19 +196,21 @@
     events: mpsc::Sender<Event>,
     /// Where the name service is.
     names: watch::Sender<SocketAddr>,
-    callers: HashMap<CallerConn, mpsc::Sender<ToCaller>>,
+    callers: HashMap<CallerConn, mpsc::Sender<callers::Order>>,
     callers_max: usize,
     /// Callers' connections whose task still holds a descriptor.
     callers_held: usize,
     /// No connection is taken before then.
     accept_from: Instant,
     accepted: u64,
-    servers: HashMap<ServerConn, mpsc::Sender<Order>>,
+    servers: HashMap<ServerConn, servers::Handle>,
     /// Where operators' answers go.
     operators: HashMap<OperatorConn, oneshot::Sender<OperatorAnswer>>,
     asked: u64,
     tasks: JoinSet<()>,
     effects: Vec<Effect>,
+    /// No further connection is to be taken.
+    stops_listening: bool,
     exiting: bool,
     fronts: Fronts,
     /// The socket to the other border controllers, and the task that hears them, where messages are allowed.
@@ -279,6 +283,7 @@
             asked: 0,
             tasks: JoinSet::new(),
             effects: Vec::new(),
+            stops_listening: false,
             exiting: false,
             fronts,
             peers: None,
@@ -401,24 +406,24 @@
     fn perform(&mut self, effect: Effect) {
         log::trace!("{effect:?}");
         match effect {
-            Effect::ToCaller { conn, message } => {
-                let full = self.callers.get(&conn).is_some_and(|queue| queue.try_send(message).is_err());
-                if full {
-                    // A peer that takes nothing is given up; its task tells the reducer.
-                    self.callers.remove(&conn);
-                }
+            Effect::ToCaller { conn, message } => self.order(conn, callers::Order::Write(message)),
+            Effect::CloseIdleCaller { conn, heard, keep_partial } => {
+                let check = callers::IdleCheck { heard, keep_partial };
+                self.order(conn, callers::Order::CloseIfIdle(check));
             }
             Effect::CloseCaller(conn) => {
                 self.callers.remove(&conn);
             }
+            Effect::StopListening => self.stops_listening = true,
             Effect::Dial { conn, addr, timeout_ms } => {
-                let (queue, orders) = mpsc::channel(WRITE_QUEUE);
-                self.servers.insert(conn, queue);
+                let (handle, orders, closed) = servers::queue(WRITE_QUEUE);
+                self.servers.insert(conn, handle);
                 let timeout = Duration::from_secs_f64(timeout_ms.clamp(1.0, 60_000.0) / 1000.0);
                 let events = self.events.clone();
                 if self.fronts.speaks_text(addr) {
                     let codec = ServerCodec::new(&self.fronts.mid);
-                    self.tasks.spawn_local(servers::serve(codec, addr, timeout, conn, orders, events));
+                    self.tasks
+                        .spawn_local(servers::serve(codec, addr, timeout, conn, orders, closed, events));
                 } else {
                     self.tasks.spawn_local(servers::serve(
                         servers::Codec::default(),
@@ -426,12 +431,14 @@
                         timeout,
                         conn,
                         orders,
+                        closed,
                         events,
                     ));
                 }
             }
             Effect::ToServer { conn, message, confirm } => {
-                let full = self.servers.get(&conn).is_some_and(|q| q.try_send((message, confirm)).is_err());
+                let full =
+                    self.servers.get(&conn).is_some_and(|s| s.orders.try_send((message, confirm)).is_err());
                 if full {
                     self.servers.remove(&conn);
                 }
@@ -465,6 +472,14 @@
         }
     }
 
+    fn order(&mut self, conn: CallerConn, order: callers::Order) {
+        let full = self.callers.get(&conn).is_some_and(|queue| queue.try_send(order).is_err());
+        if full {
+            // A peer that takes nothing is given up; its task tells the reducer.
+            self.callers.remove(&conn);
+        }
+    }
+
     fn tell_peers(&self, told: &PeerReport) {
         let Some((sending, _)) = &self.peers else { return };
         match datagrams::write(told, &mut [0; DATAGRAM_MAX]) {
@@ -500,19 +515,23 @@
         self.step(Event::Operator { conn, ask });
     }
 
-    /// A successor takes what comes from now on: the connections that this listener was given already are served
-    /// here, and it is let go at once, so that no later one is left unread.
+    /// The connections that the listeners were given already are served here, and they are let go at once, so that no
+    /// later one is left unread.
+    fn stop_listening(&mut self, listener: &mut Option<TcpListener>, text: &mut Option<TcpListener>) {
+        self.stops_listening = false;
+        for stream in listener.take().map(listeners::last_of).unwrap_or_default() {
+            self.accept(stream, Speech::Binary);
+        }
+        for stream in text.take().map(listeners::last_of).unwrap_or_default() {
+            self.accept(stream, Speech::Text);
+        }
+    }
+
+    /// A successor takes what comes from now on.
     fn stop(&mut self, listener: &mut Option<TcpListener>, text: &mut Option<TcpListener>, heirs: &Heirs) {
         let successor = heirs.any_other();
-        if successor && let Some(listener) = listener.take() {
-            for stream in listeners::last_of(listener) {
-                self.accept(stream, Speech::Binary);
-            }
-        }
-        if successor && let Some(listener) = text.take() {
-            for stream in listeners::last_of(listener) {
-                self.accept(stream, Speech::Text);
-            }
+        if successor {
+            self.stop_listening(listener, text);
         }
         // What peers send is for the successor alone from now on: both would get a part of it.
         if successor && let Some((_, hearing)) = self.peers.take() {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -10,6 +10,7 @@
 pub mod operators;
 pub mod peers;
 pub mod servers;
+pub mod write_batch;
 
 use std::time::{Duration, Instant};
 
@@ -42,7 +43,10 @@
             return Ok(());
         }
         let since = *self.since.get_or_insert_with(Instant::now);
-        if since.elapsed() < self.most { Ok(()) } else { Err(std::io::Error::other("half a message")) }
+        // The nearest look to the end of its time: the looks come at whole parts of it, and one that came a moment too
+        // early would leave it for a further part.
+        let late_enough = since.elapsed() + self.looks.period() / 2 >= self.most;
+        if late_enough { Err(std::io::Error::other("half a message")) } else { Ok(()) }
     }
 
     fn got_whole(&mut self) {
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -1,5 +1,6 @@
 //! Call servers: the JSON-lines codec and the connections to them.
 
+use super::write_batch::given_up_unwritten;
 use super::{HalfMessages, WRITE_STALL};
 use crate::codec::common::{MESSAGE_MAX, NORMAL, RESET, ending, load};
 use crate::engine::{Event, FromServer, Lost, ServerConn, ToServer};
@@ -14,13 +15,17 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 use tokio_util::codec::{Decoder, Encoder, Framed, LinesCodec, LinesCodecError};
+use tokio_util::sync::{CancellationToken, DropGuard};
 
 /// Half a line is waited for so long: the calls on that connection wait for answers that will not come.
 const HALF_MAX: Duration = Duration::from_millis(240);
 /// A call server closes its side of a closed connection within this, or is not waited for.
 const LINGER: Duration = Duration::from_millis(300);
+/// What is being written when the engine closes the connection has so long to be taken. Within the release guard: the
+/// set-ups on the connection count as ended, and may go out elsewhere after it.
+const CLOSE_WRITES_FOR: Duration = Duration::from_millis(100);
 
 /// Frames and reads call servers' lines.
 pub struct Codec(LinesCodec);
@@ -148,14 +153,29 @@
 /// What is to be written, and whether the engine wants to know when it is.
 pub type Order = (ToServer, bool);
 
+/// The engine's end of a connection: orders go in, and letting go of it closes the connection.
+#[derive(Debug)]
+pub struct Handle {
+    pub orders: mpsc::Sender<Order>,
+    _closes: DropGuard,
+}
+
+/// Both ends of a connection's queue, and what tells its task that the engine let go of its end.
+pub fn queue(length: usize) -> (Handle, mpsc::Receiver<Order>, CancellationToken) {
+    let (orders, queue) = mpsc::channel(length);
+    let closed = CancellationToken::new();
+    (Handle { orders, _closes: closed.clone().drop_guard() }, queue, closed)
+}
+
 /// Opens a connection and serves it until either side ends it. The task owns the stream; the engine closes it
-/// by letting go of the queue's other end.
+/// by letting go of the queue's other end, which `closed` tells also while a write stands still.
 pub async fn serve<C: ServerFront>(
     codec: C,
     addr: SocketAddr,
     dial_timeout: Duration,
     conn: ServerConn,
     mut queue: mpsc::Receiver<Order>,
+    closed: CancellationToken,
     events: mpsc::Sender<Event>,
 ) {
     let how = match timeout(dial_timeout, TcpStream::connect(addr)).await {
@@ -166,7 +186,7 @@
             if events.send(Event::ServerOpened(conn)).await.is_err() {
                 return;
             }
-            exchange(Framed::new(stream, codec), conn, &mut queue, &events).await
+            exchange(Framed::new(stream, codec), conn, &mut queue, &closed, &events).await
         }
         Ok(Err(e)) if e.kind() == io::ErrorKind::ConnectionRefused => Lost::Refused,
         Ok(Err(e)) => {
@@ -182,6 +202,7 @@
     mut framed: Framed<TcpStream, C>,
     conn: ServerConn,
     queue: &mut mpsc::Receiver<Order>,
+    closed: &CancellationToken,
     events: &mpsc::Sender<Event>,
 ) -> Lost {
     let mut halves = HalfMessages::new(HALF_MAX);
@@ -196,9 +217,12 @@
                 while let Ok(order) = queue.try_recv() {
                     batch.push(order);
                 }
-                match write(&mut framed, &batch).await {
-                    Ok(()) => confirm(batch, conn, events).await,
-                    Err(e) => Err(e),
+                tokio::select! {
+                    written = write(&mut framed, &batch) => match written {
+                        Ok(()) => confirm(batch, conn, events).await,
+                        Err(e) => Err(e),
+                    },
+                    () = closed_for(closed, CLOSE_WRITES_FOR) => return Lost::Closed,
                 }
             }
             () = halves.due() => halves.look(framed.read_buffer()),
@@ -225,6 +249,12 @@
     }
 }
 
+/// Waits until the engine has closed the connection, and so long more.
+async fn closed_for(closed: &CancellationToken, time: Duration) {
+    closed.cancelled().await;
+    sleep(time).await;
+}
+
 /// Closed from here: what the call server had said by then is still heard, as it is told nowhere else.
 async fn read_out<C: ServerFront>(
     mut framed: Framed<TcpStream, C>,
@@ -245,8 +275,11 @@
 }
 
 async fn write<C: ServerFront>(framed: &mut Framed<TcpStream, C>, batch: &[Order]) -> io::Result<()> {
-    for (message, _) in batch {
-        framed.feed(message).await?;
+    let given_up = given_up_unwritten(batch);
+    for (place, (message, _)) in batch.iter().enumerate() {
+        if !given_up.contains(&place) {
+            framed.feed(message).await?;
+        }
     }
     timeout(WRITE_STALL, framed.flush()).await.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?
 }
--- /dev/null
+++ b/tests/process/crossings.rs
@@ -0,0 +1,167 @@
+//! Events that cross each other (`docs/races.md`). Each test holds one side still until the other has acted: the program
+//! by SIGSTOP, a call server by leaving its connections unaccepted, a caller by what it hears.
+
+use crate::rig::*;
+use crate::two;
+use serde_json::json;
+use socket2::{Domain, SockAddr, Socket, Type};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
+
+/// Set-ups are taken for 0.7 s after SIGTERM; this is past it.
+const STOP_WINDOW: Duration = Duration::from_millis(800);
+/// Well before a caller's time is over, and long after a set-up that was given up must have been called off.
+const LONG_GIVEN_UP: Duration = Duration::from_secs(3);
+const REFUSED: Option<u8> = Some(42);
+const FAILED: Option<u8> = Some(41);
+
+/// A set-up is sent within the stop's 0.7 s, on an open connection and on one not accepted yet. The program stands still
+/// until that time is over, and all of it is due at once when it goes on: each set-up still gets its answer.
+#[test]
+fn set_ups_that_lie_unread_when_a_stop_ends_are_answered() {
+    let (_a, _b, mut program, _names, _la, _lb, mut caller) = two();
+    program.terminate();
+    while caller.test() {}
+    program.hold();
+    caller.set_up(7, 0, 9000);
+    let mut unaccepted = program.caller();
+    unaccepted.set_up(8, 0, 9000);
+    // The program's own clock is to run past the window; nothing else is waited for.
+    std::thread::sleep(STOP_WINDOW);
+    program.go_on();
+    caller.expect(12, 7, REFUSED);
+    unaccepted.expect(12, 8, REFUSED);
+    assert!(program.wait().success());
+}
+
+/// A set-up lies unread on an idle connection when SIGTERM makes the program close such connections for its successor:
+/// it came first, so it is taken up.
+#[test]
+fn set_ups_that_came_before_a_hand_over_closes_their_connections_are_taken_up() {
+    let (_a, _b, mut old, _names, _la, _lb, _caller) = two();
+    let mut idle: Vec<Caller> = (0..4).map(|_| old.ready_caller()).collect();
+    let new = old.successor();
+    old.hold();
+    for (call, caller) in (20..).zip(&mut idle) {
+        caller.set_up(call, (call % 2) as u32, 400);
+    }
+    old.terminate();
+    old.go_on();
+    for (call, caller) in (20..).zip(&mut idle) {
+        let heard = caller.hear().map(|(kind, of, _)| (kind, of));
+        assert_eq!(heard, Some((12, call)), "the answer comes before the close");
+        assert_eq!(caller.hear(), None);
+    }
+    assert!(old.wait().success());
+    drop(new);
+}
+
+/// A connection that has been silent is closed, and its first set-up has come just before: it is taken up.
+#[test]
+fn a_first_set_up_that_came_before_its_silent_connection_is_closed_is_taken_up() {
+    let (_a, _b, program, _names, mut la, _lb, _caller) = two();
+    let mut silent = program.caller();
+    program.hold();
+    silent.set_up(7, 0, 9000);
+    // Past the time in which a first message is waited for.
+    std::thread::sleep(Duration::from_millis(2900));
+    program.go_on();
+    la.expect("new", 7);
+    la.up(7);
+    silent.expect(9, 7, None);
+}
+
+/// A caller closes its connection while its set-up is out: the set-up is called off long before its time is over.
+#[test]
+fn a_set_up_whose_caller_closed_its_connection_is_called_off() {
+    let (_a, _b, program, _names, mut la, mut lb, mut caller) = two();
+    caller.set_up(7, 0, 9000);
+    la.expect("new", 7);
+    let since = Instant::now();
+    drop(caller);
+    assert_eq!(la.expect("down", 7)["c"], 16);
+    assert!(since.elapsed() < LONG_GIVEN_UP, "{:?}", since.elapsed());
+    // An answer that crossed the release is released as well, and nothing was tried elsewhere.
+    la.up(7);
+    assert_eq!(la.expect("down", 7)["c"], 16);
+    let mut other = program.ready_caller();
+    other.set_up(8, 1, 9000);
+    lb.expect("new", 8);
+}
+
+/// A caller shuts its side while its set-up is out, and the set-up breaks: nothing is tried for it any more, neither at
+/// once nor after the guard. It hears so at once, as it may listen still.
+#[test]
+fn no_further_attempt_begins_for_a_caller_that_shut_its_side() {
+    let (_a, _b, program, _names, mut la, mut lb, mut caller) = two();
+    caller.set_up(7, 0, 9000);
+    la.expect("new", 7);
+    caller.stream.shutdown(Shutdown::Write).unwrap();
+    // The program has seen it.
+    assert_eq!(caller.hear().map(|(kind, call, _)| (kind, call)), Some((PROGRESS, 7)));
+    la.down(7, 41, json!({}));
+    caller.expect(12, 7, FAILED);
+    assert_eq!(caller.hear(), None);
+    let mut other = program.ready_caller();
+    other.set_up(8, 1, 9000);
+    lb.expect("new", 8);
+}
+
+/// The same while the caller's set-up waits for the guard of its first attempt.
+#[test]
+fn a_set_up_that_waits_for_the_guard_is_not_sent_for_a_caller_that_left() {
+    let (_a, _b, program, _names, mut la, mut lb, mut caller) = two();
+    caller.set_up(7, 0, 9000);
+    la.expect("new", 7);
+    la.down(7, 41, json!({}));
+    caller.stream.shutdown(Shutdown::Write).unwrap();
+    caller.expect(12, 7, FAILED);
+    assert_eq!(caller.hear(), None);
+    let mut other = program.ready_caller();
+    other.set_up(8, 1, 9000);
+    lb.expect("new", 8);
+}
+
+/// A listening socket whose queue is full, so that connections to it do not come up, and what fills it.
+fn full_listener() -> (std::net::TcpListener, Vec<TcpStream>) {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    socket.bind(&SockAddr::from(SocketAddr::from(([127, 0, 0, 1], 0)))).unwrap();
+    socket.listen(0).unwrap();
+    let listener: std::net::TcpListener = socket.into();
+    let addr = listener.local_addr().unwrap();
+    let fill = std::iter::from_fn(|| TcpStream::connect_timeout(&addr, Duration::from_millis(300)).ok());
+    let fill = fill.take(8).collect();
+    (listener, fill)
+}
+
+/// A caller leaves while its set-up waits for a connection: once the connection comes up it carries the next call's
+/// set-up and never that one, which is not tried elsewhere either.
+#[test]
+fn a_set_up_that_waits_for_a_connection_is_not_sent_for_a_caller_that_left() {
+    let (listener, fill) = full_listener();
+    let addr = listener.local_addr().unwrap();
+    let a = Server {
+        listener,
+        listed: Listed { id: "s-a", addr, place: 0, draining: false, started_ms: 0 },
+        text: text_servers(),
+    };
+    let b = Server::start("s-b", 1);
+    let (program, _names) = start(&[&a, &b]);
+    let mut lb = b.accept();
+    let mut leaves = program.ready_caller();
+    leaves.set_up(7, 0, 9000);
+    leaves.stream.shutdown(Shutdown::Write).unwrap();
+    leaves.expect(12, 7, FAILED);
+    assert_eq!(leaves.hear(), None);
+    // What filled the queue is taken out of it, and the next connection is the program's.
+    for _ in &fill {
+        a.accept_mute();
+    }
+    drop(fill);
+    let mut la = a.accept();
+    let mut other = program.ready_caller();
+    other.set_up(8, 0, 9000);
+    la.expect("new", 8);
+    other.set_up(9, 1, 9000);
+    lb.expect("new", 9);
+}
