Split callers' connections by job, and hold a set-up in pieces through a drain in a test

Closing connections stands in caller_close now (which one makes room, which are idle, callers that left), telling callers of ends in release_delivery, with typed records in place of tuples; callers keeps who is connected and what is heard. Behaviour is unchanged.

--- a/src/engine/callers.rs
+++ b/src/engine/callers.rs
@@ -1,12 +1,9 @@
-//! Callers' connections: which are kept, what one of them may take, and on which a caller is told.
-//!
-//! A connection without a set-up is closed in two steps: the engine asks for it (`Effect::CloseIdleCaller`) and goes on
-//! hearing it until the connection's task, which alone sees what has come in, says that it is closed.
+//! Callers' connections, and what one of them may take.
 
-use super::operators::FIRST_WORD_MS;
-use super::{CallerConn, Due, Effect, Engine, Fault, FromCaller, LAST_LOOK_MS, Release, ToCaller};
-use crate::interface::{self as module, CallId};
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use super::release_delivery::PendingReleases;
+use super::{CallerConn, Due, Effect, Engine, Fault, FromCaller, ToCaller};
+use crate::interface::CallId;
+use std::collections::BTreeMap;
 
 /// A connection that has asked nothing whole for so long is closed, ms. Who connects and says nothing, or half a
 /// message, takes a descriptor from callers that have something to say; 3 s is the most such a client is owed. Not much
@@ -19,49 +16,29 @@
 /// between two looks: beyond that it takes the share of others.
 const OPEN_MAX: usize = 512;
 const PASSED_ON_MAX: u32 = 64;
-/// A connection that its caller closes so soon after a release went out may have crossed it, ms.
-const CROSSING_MS: f64 = 250.0;
-/// Releases kept for callers that have no connection open.
-const OWED_MAX: usize = 4096;
-/// Each goes out on so many connections that may be callers' or not, until one says that it heard it: a crowd's are not
-/// to have them all.
-const COPIES_MAX: u8 = 3;
-/// A caller that has shut its side may listen still or be gone: while a set-up of it is open it is looked at so often,
-/// ms. Two looks, within the 0.1 s after which nothing may be done for a caller that is gone.
-const SHUT_LOOK_MS: f64 = 40.0;
 
-struct Conn {
+/// A caller's connection.
+pub(super) struct Conn {
     /// The caller may send more on it.
-    open: bool,
+    pub(super) open: bool,
     /// It is to make room, and closes unless its caller is heard first.
-    leaving: bool,
+    pub(super) leaving: bool,
     /// Messages heard on it.
-    heard: u64,
+    pub(super) heard: u64,
     /// It has sent a whole message.
-    asked: bool,
+    pub(super) asked: bool,
     /// It has brought a set-up that was taken: whoever holds it has calls, and hears of their ends.
-    calls: bool,
-    opened_at: f64,
-    heard_at: f64,
-    faults: u32,
-    passed_on: u32,
-}
-
-/// A release that no caller's connection could take.
-struct Owed {
-    call: CallId,
-    how: Release,
-    /// Connections on which it went out nevertheless.
-    copies: u8,
+    pub(super) calls: bool,
+    pub(super) opened_at: f64,
+    pub(super) heard_at: f64,
+    pub(super) faults: u32,
+    pub(super) passed_on: u32,
 }
 
 #[derive(Default)]
 pub(super) struct Callers {
-    conns: BTreeMap<CallerConn, Conn>,
-    /// Releases that no caller was there for.
-    owed: VecDeque<Owed>,
-    /// Releases that went out a moment ago and were not said to be heard, oldest first.
-    released: VecDeque<(f64, CallerConn, CallId, Release)>,
+    pub(super) conns: BTreeMap<CallerConn, Conn>,
+    pub(super) releases: PendingReleases,
 }
 
 impl Callers {
@@ -75,7 +52,7 @@
     }
 
     /// Connections that are to stay.
-    fn staying(&self) -> usize {
+    pub(super) fn staying(&self) -> usize {
         self.conns.values().filter(|c| !c.leaving).count()
     }
 }
@@ -95,178 +72,15 @@
         };
         self.callers.conns.insert(conn, new);
         self.timers.set(self.now + SILENT_MS, Due::CallerSilent(conn));
-        // Releases that found no caller have waited for this one. Whether it is a caller only a set-up shows.
-        for owed in self.callers.owed.iter_mut().filter(|o| o.copies < COPIES_MAX) {
-            owed.copies += 1;
-            out.push(Effect::ToCaller {
-                conn,
-                message: ToCaller::Released { call: owed.call, how: owed.how },
-            });
-        }
+        self.offer_owed_releases(conn, out);
         self.make_room_if_crowded(conn, out);
     }
 
-    fn make_room_if_crowded(&mut self, new: CallerConn, out: &mut Vec<Effect>) {
-        if self.callers.staying() > self.host.callers_max {
-            self.make_room(new, out);
-        }
-    }
-
-    /// Too many connections: one goes that brought no call yet, of those that said nothing and those that did the kind
-    /// there are more of, as that is the crowd; then callers', those with a call that stands last, as its end is to be
-    /// told there. Of equals it is the one that has been quiet longest. None with a set-up open on it goes, and not the
-    /// new one.
-    fn make_room(&mut self, new: CallerConn, out: &mut Vec<Effect>) {
-        let busy: BTreeSet<CallerConn> = self.calls.waiting_on().collect();
-        let standing: BTreeSet<CallerConn> = self.calls.standing_on().collect();
-        let idle =
-            self.callers.conns.iter().filter(|(id, c)| **id != new && !c.leaving && !busy.contains(id));
-        let idle: Vec<(CallerConn, &Conn)> = idle.map(|(&id, c)| (id, c)).collect();
-        let silent = idle.iter().filter(|(_, c)| !c.calls && !c.asked).count();
-        let asked = idle.iter().filter(|(_, c)| !c.calls && c.asked).count();
-        let worth = |id: CallerConn, c: &Conn| match c {
-            Conn { calls: true, .. } => 2 + u8::from(standing.contains(&id)),
-            Conn { asked: true, .. } => u8::from(silent >= asked),
-            Conn { .. } => u8::from(silent < asked),
-        };
-        let first = idle
-            .iter()
-            .min_by(|(i, a), (j, b)| worth(*i, a).cmp(&worth(*j, b)).then(a.heard_at.total_cmp(&b.heard_at)));
-        let Some(conn) = first.map(|&(id, _)| id) else { return };
-        if let Some(c) = self.callers.conns.get_mut(&conn) {
-            c.leaving = true;
-        }
-        self.close_if_unheard(conn, false, out);
-    }
-
-    pub(super) fn caller_silent(&mut self, conn: CallerConn, out: &mut Vec<Effect>) {
-        if self.callers.conns.get(&conn).is_some_and(|c| !c.asked) {
-            self.close_if_unheard(conn, false, out);
-        }
-    }
-
-    /// Closes a connection on which no set-up is open, unless its caller has sent a message that was not heard yet: a
-    /// caller sends a set-up again only if it crossed the close by a moment, and that one may have lain for longer.
-    /// With `keep_partial` a part of a message keeps the connection as well.
-    fn close_if_unheard(&mut self, conn: CallerConn, keep_partial: bool, out: &mut Vec<Effect>) {
-        if let Some(c) = self.callers.conns.get(&conn) {
-            out.push(Effect::CloseIdleCaller { conn, heard: c.heard, keep_partial });
-        }
-    }
-
-    /// Closes a connection whatever may come on it: its caller has shut it, or sends what can't be taken up.
-    fn close_caller(&mut self, conn: CallerConn, out: &mut Vec<Effect>) {
-        if self.callers.conns.remove(&conn).is_some() {
-            out.push(Effect::CloseCaller(conn));
-        }
-    }
-
-    /// A caller may shut its side and still wait for answers: they go out before the connection is closed.
-    pub(super) fn caller_eof(&mut self, conn: CallerConn, out: &mut Vec<Effect>) {
-        if let Some(c) = self.callers.conns.get_mut(&conn) {
-            c.open = false;
-        }
-        self.look_at_shut(conn, out);
-        self.close_if_done(conn, out);
-    }
-
-    /// A caller that has shut its side may be gone. No attempt begins for it any more: its set-ups that are not out are
-    /// failed. What is out is waited for, as the caller may still listen; a progress message, which means nothing,
-    /// shows whether it does: the system of one that is gone resets the connection, and its set-ups are given up.
-    pub(super) fn look_at_shut(&mut self, conn: CallerConn, out: &mut Vec<Effect>) {
-        if !self.callers.has_shut(conn) {
-            return;
-        }
-        for call in self.calls.not_out_from(conn) {
-            self.news.push_back(module::Event::CallerLeft(call));
-            self.answer(call, ToCaller::Failed(call), out);
-        }
-        if let Some(call) = self.calls.first_waiting_on(conn) {
-            out.push(Effect::ToCaller { conn, message: ToCaller::Progress(call) });
-            self.timers.set(self.now + SHUT_LOOK_MS, Due::CallerShut(conn));
-        }
-    }
-
-    /// Closes a connection with nothing open on it if its caller has shut it, or if idle ones are closed now.
-    pub(super) fn close_if_done(&mut self, conn: CallerConn, out: &mut Vec<Effect>) {
-        let Some(c) = self.callers.conns.get(&conn) else { return };
-        let shut = !c.open;
-        if !(shut || self.closes_idle()) || self.in_use(shut).contains(&conn) {
-            return;
-        }
-        if shut {
-            self.close_caller(conn, out);
-        } else {
-            self.close_if_unheard(conn, true, out);
-        }
-    }
-
     /// Set-ups open on it are given up with it; standing calls belong to no connection.
     pub(super) fn caller_closed(&mut self, conn: CallerConn, unsent: Vec<ToCaller>, out: &mut Vec<Effect>) {
         self.callers.conns.remove(&conn);
         self.give_up_on(conn, out);
-        // A release that this connection could not take any more goes out on another.
-        for message in unsent {
-            if let ToCaller::Released { call, .. } = message {
-                self.callers.released.retain(|r| r.2 != call);
-                self.tell_any_caller(conn, message, out);
-            }
-        }
-        self.release_again(conn, out);
-    }
-
-    /// A caller may close a connection with no call on it while a release is on its way there: it was lost then,
-    /// and goes out on another connection.
-    fn release_again(&mut self, conn: CallerConn, out: &mut Vec<Effect>) {
-        let since = self.now - CROSSING_MS;
-        let released = std::mem::take(&mut self.callers.released);
-        let (crossed, other): (VecDeque<_>, VecDeque<_>) = released.into_iter().partition(|r| r.1 == conn);
-        self.callers.released = other;
-        for (_, _, call, how) in crossed.into_iter().filter(|r| r.0 >= since) {
-            self.tell_any_caller(conn, ToCaller::Released { call, how }, out);
-        }
-    }
-
-    /// On the connection of the set-up, else on another caller's; else on the next that brings a set-up, and meanwhile
-    /// on a few of those that may be callers'.
-    pub(super) fn tell_any_caller(&mut self, conn: CallerConn, message: ToCaller, out: &mut Vec<Effect>) {
-        let conns = &self.callers.conns;
-        let own = conns.get(&conn).filter(|c| c.open).map(|_| conn);
-        // The one heard last is the least likely to be closed by its caller meanwhile.
-        let last = |calls: bool| {
-            let open = conns.iter().filter(|(_, c)| c.open && c.calls == calls);
-            let last =
-                open.max_by(|(_, a), (_, b)| a.asked.cmp(&b.asked).then(a.heard_at.total_cmp(&b.heard_at)));
-            last.map(|(&id, _)| id)
-        };
-        let (caller, other) = (own.or_else(|| last(true)), last(false));
-        let ToCaller::Released { call, how } = message else {
-            out.extend(caller.or(other).map(|conn| Effect::ToCaller { conn, message }));
-            return;
-        };
-        if let Some(conn) = caller.or(other) {
-            let since = self.now - CROSSING_MS;
-            while self.callers.released.front().is_some_and(|r| r.0 < since) {
-                self.callers.released.pop_front();
-            }
-            self.callers.released.push_back((self.now, conn, call, how));
-            out.push(Effect::ToCaller { conn, message });
-        }
-        if caller.is_none() {
-            self.callers.owed.push_back(Owed { call, how, copies: u8::from(other.is_some()) });
-            if self.callers.owed.len() > OWED_MAX {
-                self.callers.owed.pop_front();
-            }
-        }
-    }
-
-    /// A set-up was taken on this connection: whoever holds it is a caller, and hears what callers are owed.
-    pub(super) fn brought_call(&mut self, conn: CallerConn, out: &mut Vec<Effect>) {
-        let Some(c) = self.callers.conns.get_mut(&conn).filter(|c| !c.calls) else { return };
-        c.calls = true;
-        for Owed { call, how, .. } in std::mem::take(&mut self.callers.owed) {
-            self.tell_any_caller(conn, ToCaller::Released { call, how }, out);
-        }
+        self.release_elsewhere(conn, unsent, out);
     }
 
     // ---- what callers say ----
@@ -304,10 +118,7 @@
                     self.release_everywhere(call, out);
                 }
             }
-            FromCaller::Heard(call) => {
-                self.callers.released.retain(|r| r.2 != call);
-                self.callers.owed.retain(|o| o.call != call);
-            }
+            FromCaller::Heard(call) => self.callers.releases.heard(call),
             FromCaller::Test(call) => {
                 let passed = self.ready();
                 out.push(Effect::ToCaller { conn, message: ToCaller::Tested { call, passed } });
@@ -342,31 +153,4 @@
         self.callers.conns.values_mut().for_each(|c| c.passed_on = 0);
         self.close_idle(out);
     }
-
-    /// Connections with a set-up open, and in a drain those with a standing call: its caller may have no other on
-    /// which to hear of its end. The next process at this address can tell of it as well, and a caller that has shut its
-    /// side asked for no more.
-    fn in_use(&self, shut: bool) -> BTreeSet<CallerConn> {
-        let ends = self.successor || self.leaving_since.is_some();
-        let standing = self.calls.standing_on().filter(|_| !shut && !ends);
-        self.calls.waiting_on().chain(standing).collect()
-    }
-
-    /// Closes what has no set-up open on it, so that its caller goes elsewhere with the next. One that has asked
-    /// nothing yet has a moment for it: it may have been sent here before the front knew better.
-    pub(super) fn close_idle(&mut self, out: &mut Vec<Effect>) {
-        if !self.closes_idle() {
-            return;
-        }
-        let busy = self.in_use(false);
-        let first_word_ms = if self.leaving_since.is_some() { LAST_LOOK_MS } else { FIRST_WORD_MS };
-        let idle = |id: &CallerConn, c: &Conn| {
-            !busy.contains(id) && (c.asked || self.now - c.opened_at >= first_word_ms)
-        };
-        let idle: Vec<_> =
-            self.callers.conns.iter().filter(|(id, c)| idle(id, c)).map(|(&id, _)| id).collect();
-        for conn in idle {
-            self.close_if_unheard(conn, true, out);
-        }
-    }
 }
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -5,6 +5,7 @@
 //! answer, one attempt at a time, nothing new to a call server that drains, the release guard.
 
 mod answers;
+mod caller_close;
 mod callers;
 mod calls;
 mod fleet;
@@ -15,6 +16,7 @@
 mod peers;
 mod probes;
 mod recovery;
+mod release_delivery;
 mod shares;
 mod sites;
 #[cfg(test)]
--- a/tests/process/crossings.rs
+++ b/tests/process/crossings.rs
@@ -5,6 +5,7 @@
 use crate::two;
 use serde_json::json;
 use socket2::{Domain, SockAddr, Socket, Type};
+use std::io::Write;
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::time::Duration;
 
@@ -206,3 +207,21 @@
     late.expect(9, 7, None);
     assert!(old.wait().success() && new.wait().success());
 }
+
+/// A caller writes its set-up in pieces on an idle connection, and an operator's drain closes idle connections meanwhile:
+/// this one stays, and the set-up gets its answer.
+#[test]
+fn a_set_up_written_in_pieces_keeps_its_connection_through_a_drain() {
+    let (_a, _b, program, _names, _la, _lb, mut idle) = two();
+    let mut writes = program.ready_caller();
+    let message = Caller::set_up_bytes(7, 0, 400);
+    let (first, last) = message.split_at(message.len() - 1);
+    for byte in first {
+        writes.stream.write_all(&[*byte]).unwrap();
+    }
+    assert_eq!(program.operator("POST /control/out-of-service").0, 200);
+    // Idle connections are closed all at once.
+    assert_eq!(idle.hear(), None);
+    writes.stream.write_all(last).unwrap();
+    assert_eq!(writes.hear().map(|(kind, call, _)| (kind, call)), Some((12, 7)));
+}
