Hold the cold ramp for any number of senders, told or not, also just started

Need: all senders together keep to N + 2 root N + 2 set-ups in a cold server's window, at any number of senders that the settings tell and where it is not told. Without `siblings` in the settings the program did not start.

Cause of what failed: a sender that has just started took its part of the calls handed to it for what a server takes. In overload that is several times as much. And its rate of calls that stood was taken over the time up to the last of them only, which among many thin senders counts those with an early one too high.

Change: `siblings` may be absent, null or 0: the number of entries in `peers` stands in for it, else 1. A sender to which no call stood yet sends nothing to a cold server as long as a warm one lives that will tell; the rate of calls that stood is taken over no less than the time counted since the start.

How much each of the two brings was not measured alone.

--- a/src/config.rs
+++ b/src/config.rs
@@ -131,7 +131,7 @@
 fn parse(text: &[u8], source: &Source) -> Result<Config, String> {
     let file: File = serde_json::from_slice(text).map_err(|e| e.to_string())?;
     let inner = file.settings.to_string();
-    let (mut settings, columns) = settings::parse(inner.as_bytes())?;
+    let (mut settings, columns) = settings::parse_among(inner.as_bytes(), file.peers.len())?;
     let host = settings::parse_host(inner.as_bytes())?;
     let own = usize::from(host.index);
     let peering = file.peer_listen.filter(|_| settings.may_tell && !file.peers.is_empty());
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -43,7 +43,7 @@
 /// What a sender is told at start.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Settings {
-    /// Senders in this tier, this one included.
+    /// Senders in this tier, this one included; 1 where the number is not known.
     pub siblings: u32,
     pub classes: Vec<Class>,
     pub customers: Vec<Customer>,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -284,8 +284,9 @@
         self.at = now;
     }
 
-    fn per_ms(&self) -> f64 {
-        self.n / self.ms.max(RATE_LEAST_MS)
+    /// Over the time counted, or `least_ms` if that is longer.
+    fn per_ms(&self, least_ms: f64) -> f64 {
+        self.n / self.ms.max(least_ms)
     }
 }
 
@@ -605,11 +606,14 @@
 
     /// A cold server gets part of what the rule allows within its window, and a silent one only what may
     /// find the way back: shares of this sender's usual rate to a warm one. That may be under one set-up: it
-    /// is rounded by a lot, drawn anew every few windows, so all senders together keep to it at any size.
+    /// is rounded by a lot, drawn anew every few windows, so all senders together keep to it at any size. The
+    /// calls handed to one that just started tell of the load; what a server takes, a warm one tells first.
     fn has_room(&self, now: f64, id: ServerId, s: &Server) -> bool {
         let warmth = self.warmth(now, s);
-        let cold =
-            if warmth < 1.0 { COLD_PART * self.settings.fall_multiple * warmth } else { f64::INFINITY };
+        let tells = |s: &Server| s.state == Listed::Ready && self.warmth(now, s) >= 1.0 && !s.silent(now);
+        let known = self.stood.n > 0.0 || !self.servers.values().any(tells);
+        let part = if known { COLD_PART } else { 0.0 };
+        let cold = if warmth < 1.0 { part * self.settings.fall_multiple * warmth } else { f64::INFINITY };
         let share = if s.silent(now) { cold.min(TRIAL_PART) } else { cold };
         if share.is_infinite() {
             return true;
@@ -617,25 +621,26 @@
         let span = if self.settings.fall_ms > 0.0 { self.settings.fall_ms } else { HALVING_MS };
         let window = (now / span / LOT_WINDOWS + lot(self.salt, id)).floor();
         let sent = s.sends.iter().filter(|&&at| now - at < span).count();
-        sent as f64 + lot(self.salt ^ window.to_bits(), id) < share * self.usual_rate(s) * span
+        sent as f64 + lot(self.salt ^ window.to_bits(), id) < share * self.usual_rate(now, s) * span
     }
 
     /// The share refused for want of lines: what is told free goes round the senders in the time to the next
     /// telling, and as many more are freed as usually stand; this sender wants its part of the calls handed
     /// to it. All would else take the same few lines, and then none until the next telling.
-    fn short_of_lines(&self, s: &Server) -> f64 {
-        let freed = s.free_lines / self.siblings() / LINES_TOLD_MS + self.usual_rate(s);
-        let wanted = self.handed.per_ms() * s.size / self.ready_size.max(1.0);
+    fn short_of_lines(&self, now: f64, s: &Server) -> f64 {
+        let freed = s.free_lines / self.siblings() / LINES_TOLD_MS + self.usual_rate(now, s);
+        let wanted = self.handed.per_ms(RATE_LEAST_MS) * s.size / self.ready_size.max(1.0);
         if wanted > 0.0 { (1.0 - LINES_PART * freed / wanted).max(0.0) } else { 0.0 }
     }
 
     /// This sender's calls a millisecond that come to stand at this server when warm: its part, by size,
     /// of those that stood at warm servers of late; what was sent in a jam would tell of the jam. Before any
     /// stood, its part of the calls this sender was handed.
-    fn usual_rate(&self, s: &Server) -> f64 {
-        let stood = self.stood.per_ms();
-        let rate = if stood > 0.0 { stood } else { self.handed.per_ms() / self.ready_size.max(1.0) };
-        rate * s.size
+    fn usual_rate(&self, now: f64, s: &Server) -> f64 {
+        let counted_ms = RATE_SPAN_MS * (1.0 - (-(now - self.started) / RATE_SPAN_MS).exp());
+        let stood = self.stood.per_ms(counted_ms.max(RATE_LEAST_MS));
+        let handed = self.handed.per_ms(RATE_LEAST_MS) / self.ready_size.max(1.0);
+        s.size * if stood > 0.0 { stood } else { handed }
     }
 
     /// A call came to stand: where at a warm server, the usual rate moves.
@@ -677,7 +682,7 @@
     fn refused_share(&self, now: f64, s: &Server, (signs, told): (f64, f64), backlog: f64) -> f64 {
         // Of a large fleet each sender hears of a server but every few seconds: the others stand in for it.
         let elsewhere = (1.0 - s.freshness(now)) * told / signs.max(SIGNS_LEAST);
-        let least = elsewhere.max(1.0 - self.warmth(now, s)).max(self.short_of_lines(s));
+        let least = elsewhere.max(1.0 - self.warmth(now, s)).max(self.short_of_lines(now, s));
         s.refuses(now, backlog, self.useful_wait_ms()).max(least)
     }
 
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -51,7 +51,8 @@
 
 #[derive(Deserialize)]
 struct Info {
-    siblings: u32,
+    #[serde(default)]
+    siblings: Option<u32>,
     #[serde(default)]
     index: u16,
     services: Vec<Service>,
@@ -189,8 +190,21 @@
     })
 }
 
-/// Parses the settings for the module.
+/// The number of senders of the tier: as the settings tell it, else the border controllers that the configuration
+/// lists as peers, this one included, else this one alone. A told 0 is no number.
+fn senders(told: Option<u32>, listed: usize) -> u32 {
+    let listed = u32::try_from(listed).unwrap_or(u32::MAX);
+    told.filter(|&number| number > 0).unwrap_or(listed).max(1)
+}
+
+/// Parses the settings for the module where no peers are listed.
 pub fn parse(text: &[u8]) -> Result<(Settings, Vec<Column>), String> {
+    parse_among(text, 0)
+}
+
+/// Parses the settings for the module. `listed` is the number of border controllers that the configuration lists as
+/// peers; it stands in for a number of senders that the settings do not tell.
+pub fn parse_among(text: &[u8], listed: usize) -> Result<(Settings, Vec<Column>), String> {
     let info: Info = serde_json::from_slice(text).map_err(|e| format!("settings: {e}"))?;
     let columns = info.report.columns.iter().map(|name| column(name)).collect();
     let class = |s: &Service| Class {
@@ -200,7 +214,7 @@
         late_worth: s.late_worth,
     };
     let settings = Settings {
-        siblings: info.siblings,
+        siblings: senders(info.siblings, listed),
         classes: info.services.iter().map(class).collect(),
         customers: info.tenants.iter().map(|t| Customer { quota_per_s: t.quota_per_s }).collect(),
         over_share_worth: info.over_share_worth.unwrap_or(1.0),
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -11,6 +11,13 @@
 const FALL_MULTIPLE: f64 = 2.5;
 const COLD_FROM: f64 = 0.3;
 const COLD_MS: f64 = 14_000.0;
+/// A processor with so much work in its line turns set-ups away.
+const LINE_MOST_MS: f64 = 200.0;
+/// Set-ups a millisecond that a warm server's processor takes: its part of the fleet's usual calls.
+const CAPACITY_PER_MS: f64 = RATE * SENDERS as f64 / SERVERS as f64 / 1000.0;
+/// Each ramp is played with these seeds, and with so many times the calls that its two servers take when warm.
+const RAMP_SEEDS: [u64; 3] = [3, 29, 611];
+const RAMP_LOADS: [f64; 3] = [1.5, 4.0, 10.0];
 
 fn settings() -> Settings {
     Settings {
@@ -38,9 +45,38 @@
     LoadReport { wait_ms: Some(ms), ..LoadReport::default() }
 }
 
-/// Controllers that share servers; set-ups are answered at once, but for those to a mute server.
+/// Servers that take so many set-ups a millisecond and turn the others away, but for one, which answers all.
+struct Capacity {
+    per_ms: f64,
+    answers_all: Option<u64>,
+    /// When each server's processor has worked off what it has taken.
+    free_at: [f64; SERVERS as usize],
+}
+
+impl Capacity {
+    fn new(per_ms: f64) -> Capacity {
+        Capacity { per_ms, answers_all: None, free_at: [0.0; SERVERS as usize] }
+    }
+
+    /// Whether the server's processor takes one more set-up now.
+    fn takes(&mut self, now: f64, server: u64) -> bool {
+        let free_at = &mut self.free_at[server as usize];
+        let line_ms = (*free_at - now).max(0.0);
+        let takes = line_ms < LINE_MOST_MS || self.answers_all == Some(server);
+        if takes {
+            *free_at = now + line_ms + 1.0 / self.per_ms;
+        }
+        takes
+    }
+}
+
+/// Controllers that share servers; set-ups are answered at once, but for those to a mute server and those that a
+/// capacity turns away.
 struct Fleet {
     senders: Vec<Controller>,
+    /// The sender of each call is drawn from here: one that stands here several times gets several times the calls.
+    handed_to: Vec<usize>,
+    capacity: Option<Capacity>,
     rng: fastrand::Rng,
     now: f64,
     calls: u64,
@@ -55,10 +91,16 @@
 
 impl Fleet {
     fn new(settings: &Settings) -> Fleet {
-        let senders = (0..SENDERS as u64).map(|seed| Controller::new(settings.clone(), seed, 0.0)).collect();
+        Fleet::of(settings, 3, (0..SENDERS).collect(), SERVERS)
+    }
+
+    /// A fleet with this seed in front of so many warm servers, with the senders named in `handed_to`.
+    fn of(settings: &Settings, seed: u64, handed_to: Vec<usize>, servers: u64) -> Fleet {
         let mut fleet = Fleet {
-            senders,
-            rng: fastrand::Rng::with_seed(3),
+            senders: Vec::new(),
+            handed_to,
+            capacity: None,
+            rng: fastrand::Rng::with_seed(seed),
             now: 0.0,
             calls: 0,
             mute: None,
@@ -67,13 +109,22 @@
             probes: 0,
             told: 0,
         };
-        let entries: Vec<_> = (0..SERVERS).map(|n| entry(n, None)).collect();
+        fleet.restart(settings, 0);
+        let entries: Vec<_> = (0..servers).map(|n| entry(n, None)).collect();
         fleet.give_all(&Event::Servers { complete: true, entries });
         fleet
     }
 
+    /// Senders that know nothing take the place of all; `first_seed` is that of the first one.
+    fn restart(&mut self, settings: &Settings, first_seed: u64) {
+        let senders = self.handed_to.iter().max().map_or(0, |last| last + 1);
+        let sender = |n: usize| Controller::new(settings.clone(), first_seed + n as u64, self.now);
+        self.senders = (0..senders).map(sender).collect();
+        self.timers.clear();
+    }
+
     fn give_all(&mut self, event: &Event) {
-        (0..SENDERS).for_each(|i| self.give(i, event.clone()));
+        (0..self.senders.len()).for_each(|i| self.give(i, event.clone()));
     }
 
     fn give(&mut self, i: usize, event: Event) {
@@ -85,7 +136,13 @@
                 match action {
                     Action::Send { call, server, .. } => {
                         self.sent.push((self.now, server.0));
-                        if self.mute != Some(server.0) {
+                        let now = self.now;
+                        let turned_away = self.capacity.as_mut().is_some_and(|c| !c.takes(now, server.0));
+                        if turned_away {
+                            let (outcome, report) =
+                                (Outcome::ProcessorFull { wait_ms: None }, LoadReport::default());
+                            events.push(Event::Ended { call, server, outcome, closed: false, report });
+                        } else if self.mute != Some(server.0) {
                             events.push(Event::Standing { call, server, after_ms: 40.0 });
                         }
                     }
@@ -118,7 +175,8 @@
                 self.timers.remove(&due);
                 self.give(due.1, Event::Timer(due.2));
             }
-            let (i, place) = (self.rng.usize(..SENDERS), first(&mut self.rng) as u32);
+            let i = self.handed_to[self.rng.usize(..self.handed_to.len())];
+            let place = first(&mut self.rng) as u32;
             let id = CallId(self.calls);
             self.calls += 1;
             let call = Call { id, expires_in_ms: 3000.0, first_choice: Some(place), ..Call::default() };
@@ -157,6 +215,106 @@
     }
 }
 
+/// A cold server beside a warm one, with every caller wanting the cold one.
+struct Ramp {
+    /// Senders, as the settings tell it.
+    siblings: u32,
+    /// As in [`Fleet`].
+    handed_to: Vec<usize>,
+    /// The senders start anew as the cold server appears.
+    fresh: bool,
+}
+
+impl Ramp {
+    fn even(senders: usize, siblings: u32) -> Ramp {
+        Ramp { siblings, handed_to: (0..senders).collect(), fresh: false }
+    }
+
+    /// Plays the ramp with each seed and load.
+    fn assert_holds(&self) {
+        for seed in RAMP_SEEDS {
+            for load in RAMP_LOADS {
+                let (fleet, start) = self.play(seed, load);
+                fleet.assert_ramp_holds(start, &format!("seed {seed}, load {load}"));
+            }
+        }
+    }
+
+    /// The fleet at the end of the ramp, and when that started.
+    fn play(&self, seed: u64, load: f64) -> (Fleet, f64) {
+        let settings = Settings { siblings: self.siblings, ..settings() };
+        let mut fleet = Fleet::of(&settings, seed, self.handed_to.clone(), 2);
+        fleet.capacity = Some(Capacity::new(CAPACITY_PER_MS));
+        let usual = 2.0 / SERVERS as f64;
+        fleet.run(10_000.0, usual, |rng| rng.u64(..2));
+        let start = fleet.now;
+        if self.fresh {
+            fleet.restart(&settings, seed * SENDERS as u64);
+        }
+        // However much it gets, the cold server answers: nothing but the ramp holds the senders back.
+        fleet.capacity.as_mut().unwrap().answers_all = Some(0);
+        let entries = vec![entry(0, Some(start)), entry(1, None)];
+        fleet.give_all(&Event::Servers { complete: true, entries });
+        fleet.run(COLD_MS, load * usual, |_| 0);
+        (fleet, start)
+    }
+}
+
+impl Fleet {
+    /// In each window that begins with a set-up to the cold server and ends before it is warm, all senders together
+    /// keep to what the rule lets it get, but for chance; and it gets more than next to nothing.
+    fn assert_ramp_holds(&self, start: f64, case: &str) {
+        let to_cold = self.sent.iter().filter(|&&(at, server)| server == 0 && at >= start);
+        let times: Vec<f64> = to_cold.map(|&(at, _)| at).collect();
+        let last = start + COLD_MS - FALL_MS;
+        let mut end = 0;
+        for (begin, &from) in times.iter().enumerate().take_while(|&(_, &from)| from <= last) {
+            while times.get(end).is_some_and(|&at| at < from + FALL_MS) {
+                end += 1;
+            }
+            let budget = budget(from - start);
+            let most = budget + 2.0 * budget.sqrt() + 2.0;
+            let (sent, at) = (end - begin, from - start);
+            assert!(sent as f64 <= most, "{case}: {sent} in the window at {at:.0} ms, {most:.1} at most");
+        }
+        let first = times.iter().filter(|&&at| at < start + FALL_MS).count() as f64;
+        assert!(first > 0.1 * budget(0.0), "{case}: it gets next to nothing, {first} in the first window");
+    }
+}
+
+/// Set-ups that the rule lets a cold server get in a window, so long after its start.
+fn budget(age_ms: f64) -> f64 {
+    let warmth = COLD_FROM + (1.0 - COLD_FROM) * (age_ms / COLD_MS).min(1.0);
+    FALL_MULTIPLE * warmth * CAPACITY_PER_MS * FALL_MS
+}
+
+#[test]
+fn the_ramp_holds_for_any_number_of_senders_that_the_settings_tell() {
+    for senders in [1, 7, 20, 30, 300] {
+        Ramp::even(senders, senders as u32).assert_holds();
+    }
+}
+
+#[test]
+fn the_ramp_holds_where_the_number_of_senders_is_not_told() {
+    Ramp::even(20, 1).assert_holds();
+}
+
+#[test]
+fn the_ramp_holds_for_uneven_senders() {
+    // Three of thirty are handed nearly five times the mean each.
+    let (large, small) = ((0..3).flat_map(|n| [n; 8]), 3..30);
+    let handed_to = large.chain(small).collect();
+    Ramp { siblings: 30, handed_to, fresh: false }.assert_holds();
+}
+
+#[test]
+fn the_ramp_holds_for_senders_that_have_just_started() {
+    for senders in [1, 7, 20, 30, 300] {
+        Ramp { fresh: true, ..Ramp::even(senders, senders as u32) }.assert_holds();
+    }
+}
+
 #[test]
 fn a_jammed_server_gets_a_tenth_from_all_senders_together() {
     let mut fleet = Fleet::new(&settings());
