Test that a process is ready in time under load and without the name service

Need: nine in ten restarted processes are ready within 10 s, also under load and with the name service down.

Change: tests on real sockets. The name service answers nothing from the start; one known call server takes the connection and says nothing, another's address never answers; a process is restarted while four callers go on sending set-ups, with the name service down and one call server mute. The rig starts the program with any list, a silent name service and a limit on the process's descriptors (`Start`, `launch`), has an address that never answers (`Unreachable`), and a call server that answers every set-up.

--- a/tests/process/rig.rs
+++ b/tests/process/rig.rs
@@ -171,6 +171,41 @@
         link.gauge();
         link
     }
+
+    /// From here on every connection is accepted, and every set-up on it answered.
+    pub fn answer_all(&self) {
+        let (listener, text) = (self.listener.try_clone().unwrap(), self.text);
+        listener.set_nonblocking(false).unwrap();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                std::thread::spawn(move || Link::new(stream, text).answer_all());
+            }
+        });
+    }
+}
+
+/// A call server whose address answers no connection: what may wait there to be accepted waits already.
+pub struct Unreachable {
+    pub listed: Listed,
+    _listener: socket2::Socket,
+    _waiting: Vec<TcpStream>,
+}
+
+impl Unreachable {
+    /// Within this a connection on this machine is made, or it never is.
+    const CONNECTED_WITHIN: Duration = Duration::from_secs(1);
+
+    pub fn start(id: &'static str, place: u32) -> Unreachable {
+        let listener = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+        let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
+        listener.bind(&any.into()).unwrap();
+        listener.listen(0).unwrap();
+        let addr = listener.local_addr().unwrap().as_socket().unwrap();
+        let connect = || TcpStream::connect_timeout(&addr, Unreachable::CONNECTED_WITHIN);
+        let waiting = std::iter::from_fn(|| connect().ok()).collect();
+        let listed = Listed { id, addr, place, draining: false, started_ms: 0 };
+        Unreachable { listed, _listener: listener, _waiting: waiting }
+    }
 }
 
 /// A call server's end of a connection. With `CORKREACH_RIG_SERVERS=text` every call server speaks H.248 text
@@ -276,6 +311,17 @@
         assert!(self.lines.get_ref().peek(&mut [0]).unwrap() > 0);
     }
 
+    /// Tells the state and answers every set-up until the connection is closed.
+    fn answer_all(mut self) {
+        self.gauge();
+        while let Some(line) = self.hear() {
+            if line["t"] == "new" {
+                let call = line["ref"].as_str().and_then(|id| u64::from_str_radix(id, 16).ok());
+                self.up(call.expect("a set-up with an id"));
+            }
+        }
+    }
+
     pub fn gauge(&mut self) {
         self.say(
             json!({"t": "gauge", "ref": "0000000000000000", "f": {"load": "x0:90;x1:100;latency_ms:-1"}}),
@@ -296,15 +342,23 @@
     pub stream: TcpStream,
 }
 
+/// The type of the message that a call stands.
+pub const ANSWER: u8 = 9;
+
 /// A message to a caller: type, call, and the parameters by code.
 pub type Heard = (u8, u64, Vec<(u8, String)>);
 
 impl Caller {
     /// A connection to a program's address for callers.
     pub fn connect(addr: SocketAddr) -> Caller {
-        let stream = TcpStream::connect(addr).unwrap();
-        stream.set_read_timeout(Some(PATIENCE)).unwrap();
-        Caller { stream }
+        Caller::try_connect(addr).unwrap()
+    }
+
+    /// The same where perhaps nobody listens.
+    pub fn try_connect(addr: SocketAddr) -> std::io::Result<Caller> {
+        let stream = TcpStream::connect(addr)?;
+        stream.set_read_timeout(Some(PATIENCE))?;
+        Ok(Caller { stream })
     }
 
     /// One on which tests pass: the program there is ready.
@@ -338,6 +392,11 @@
         self.stream.write_all(&Caller::set_up_bytes(call, place, wait_ms)).unwrap();
     }
 
+    /// The same; false if the connection can't be written to any more.
+    pub fn try_set_up(&mut self, call: u64, place: u32, wait_ms: u32) -> bool {
+        self.stream.write_all(&Caller::set_up_bytes(call, place, wait_ms)).is_ok()
+    }
+
     pub fn set_up_bytes(call: u64, place: u32, wait_ms: u32) -> Vec<u8> {
         let (wait, extras) = (wait_ms.to_string(), format!("dest:{place};width:1;via:-1"));
         let parameters: [(u8, &[u8]); 5] = [
@@ -496,7 +555,20 @@
 }
 
 pub fn run(arguments: &[&str]) -> Command {
-    let mut command = Command::new(env!("CARGO_BIN_EXE_corkreach"));
+    run_within(arguments, None)
+}
+
+/// The program's command with a limit of its own on the process's descriptors, if any.
+fn run_within(arguments: &[&str], open_files: Option<u32>) -> Command {
+    let program = env!("CARGO_BIN_EXE_corkreach");
+    let mut command = match open_files {
+        None => Command::new(program),
+        Some(most) => {
+            let mut shell = Command::new("sh");
+            shell.args(["-c", &format!("ulimit -n {most} && exec \"$0\" \"$@\""), program]);
+            shell
+        }
+    };
     command.args(arguments);
     for variable in ["GW_CONFIG", "GW_LISTEN", "GW_MANAGEMENT", "GW_NAME", "GW_FRONTS", "GW_LIMITS"] {
         command.env_remove(variable);
@@ -504,26 +576,52 @@
     command
 }
 
+/// How the program is started.
+#[derive(Clone, Copy)]
+pub struct Start<'a> {
+    /// The configuration's limit on descriptors.
+    pub sockets: usize,
+    /// The system's limit on the process's descriptors, where it is not that of the tests.
+    pub open_files: Option<u32>,
+    /// The name service answers nothing from the start.
+    pub names_silent: bool,
+    /// The operator's file of fronts.
+    pub fronts: Option<&'a str>,
+    /// The program says where text callers connect.
+    pub text_callers: bool,
+}
+
+impl Default for Start<'_> {
+    fn default() -> Self {
+        Start { sockets: 1024, open_files: None, names_silent: false, fronts: None, text_callers: false }
+    }
+}
+
 /// Starts the program with these call servers known.
 pub fn start(servers: &[&Server]) -> (Program, Names) {
-    start_with(servers, 1024)
+    start_as(servers, Start::default())
 }
 
 /// The same with a limit on descriptors.
 pub fn start_with(servers: &[&Server], sockets: usize) -> (Program, Names) {
-    let (program, names, _) = launch(servers, sockets, None, false);
+    start_as(servers, Start { sockets, ..Start::default() })
+}
+
+/// The same in any way.
+pub fn start_as(servers: &[&Server], start: Start) -> (Program, Names) {
+    let listed: Vec<Listed> = servers.iter().map(|s| s.listed.clone()).collect();
+    let (program, names, _) = launch(&listed, servers.iter().any(|s| s.text), start);
     (program, names)
 }
 
-fn launch(
-    servers: &[&Server],
-    sockets: usize,
-    fronts: Option<&str>,
-    text_callers: bool,
-) -> (Program, Names, Option<SocketAddr>) {
+/// Starts the program with this list known; `text`: call servers on it speak H.248 text.
+pub fn launch(list: &[Listed], text: bool, start: Start) -> (Program, Names, Option<SocketAddr>) {
     let names = Names::start();
-    let list: Vec<Listed> = servers.iter().map(|s| s.listed.clone()).collect();
-    names.state.lock().unwrap().list = list.clone();
+    {
+        let mut state = names.state.lock().unwrap();
+        state.list = list.to_vec();
+        state.lose = if start.names_silent { u32::MAX } else { 0 };
+    }
     let known: Vec<Value> = list
         .iter()
         .map(|s| {
@@ -532,21 +630,21 @@
         })
         .collect();
     let config = json!({"name": "n0", "listen": "127.0.0.1:0", "management": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
-        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets}, "dns": names.addr, "settings": settings(),
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": start.sockets}, "dns": names.addr, "settings": settings(),
         "known": {"seq": 1, "results": [{"seq": 1, "fleet": {"version": 1, "full": true, "servers": known}}]}});
     let folder = std::env::temp_dir().join(format!("corkreach-{}-{}", std::process::id(), names.addr.port()));
     std::fs::create_dir_all(&folder).unwrap();
     std::fs::write(folder.join("config.json"), config.to_string()).unwrap();
     let mut arguments = vec!["serve".to_owned()];
     let all_text = "text:\n  servers:\n    all: true\n";
-    let text = servers.iter().any(|s| s.text);
-    if let Some(fronts) = fronts.or(text.then_some(all_text)) {
+    if let Some(fronts) = start.fronts.or(text.then_some(all_text)) {
         let path = folder.join("fronts.yaml");
         std::fs::write(&path, fronts).unwrap();
         arguments.extend(["--fronts".to_owned(), path.to_str().unwrap().to_owned()]);
     }
     let arguments: Vec<&str> = arguments.iter().map(String::as_str).collect();
-    let (child, text, addr, management) = spawn_text(&folder, &arguments, text_callers);
+    let command = run_within(&arguments, start.open_files);
+    let (child, text, addr, management) = spawn_text(&folder, command, start.text_callers);
     (Program { child, addr, management, folder, config }, names, text)
 }
 
@@ -556,22 +654,23 @@
     fronts: &str,
     text_callers: bool,
 ) -> (Program, Names, Option<SocketAddr>) {
-    launch(servers, 1024, Some(fronts), text_callers)
+    let listed: Vec<Listed> = servers.iter().map(|s| s.listed.clone()).collect();
+    let start = Start { fronts: Some(fronts), text_callers, ..Start::default() };
+    launch(&listed, servers.iter().any(|s| s.text), start)
 }
 
 /// Starts a process with the configuration and the `$TMPDIR` in this folder; it tells its two addresses.
 fn spawn(folder: &std::path::Path, arguments: &[&str]) -> (Child, SocketAddr, SocketAddr) {
-    let (child, _, addr, management) = spawn_text(folder, arguments, false);
+    let (child, _, addr, management) = spawn_text(folder, run(arguments), false);
     (child, addr, management)
 }
 
 /// The same; with `text`, the process tells the text callers' address first.
 fn spawn_text(
     folder: &std::path::Path,
-    arguments: &[&str],
+    mut command: Command,
     text: bool,
 ) -> (Child, Option<SocketAddr>, SocketAddr, SocketAddr) {
-    let mut command = run(arguments);
     command.env("GW_CONFIG", folder.join("config.json")).env("TMPDIR", folder);
     // A successor speaks as its forerunner.
     if folder.join("fronts.yaml").exists() {
