Leave descriptors for the name service and new callers beside a crowd

Need: idle clients may fill the descriptors while the name service is down, and it, call servers and new callers still get theirs.

Cause: callers took three quarters of the descriptors. Of 64 that leaves 16, of which the process itself holds 13 and two call servers 2. With the last one taken by a connection on its way, SIGHUP could not open the configuration ("Too many open files") and changed nothing. And where the system had no more before the engine counted too many, nothing made room: new callers were never taken up beside idle ones that had asked once.

Change: callers leave at least 40 descriptors, where that is not less than the third that callers may hold.

--- a/src/config.rs
+++ b/src/config.rs
@@ -154,10 +154,14 @@
     })
 }
 
-/// Callers' connections take three quarters of the descriptors: callers hold a third, and clients that say
-/// nothing must not shut them out. The rest is for call servers, the name service and the program.
+/// Descriptors kept from callers at least, where they can be: for the program itself, its listeners and files, the name
+/// service, operators, and connections to a few call servers.
+const KEPT: usize = 40;
+
+/// Callers' connections take three quarters of the descriptors, less where the rest would be under [`KEPT`], but never
+/// under the third that callers may hold: clients that say nothing must not shut them out, nor anybody else.
 fn callers_max(sockets: usize) -> usize {
-    (sockets / 4 * 3).max(1)
+    (sockets / 4 * 3).min(sockets.saturating_sub(KEPT)).max(sockets / 3).max(1)
 }
 
 /// The seed is hexadecimal; any other text still makes one.
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -1,5 +1,6 @@
 //! The program as a process, seen from its callers, its call servers and its name service.
 
+mod descriptors;
 mod readiness;
 mod rig;
 mod speech;
