--- a/src/config.rs
+++ b/src/config.rs
@@ -131,7 +131,7 @@
 fn parse(text: &[u8], source: &Source) -> Result<Config, String> {
     let file: File = serde_json::from_slice(text).map_err(|e| e.to_string())?;
     let inner = file.settings.to_string();
-    let (mut settings, columns) = settings::parse(inner.as_bytes())?;
+    let (mut settings, columns) = settings::parse_among(inner.as_bytes(), file.peers.len())?;
     let host = settings::parse_host(inner.as_bytes())?;
     let own = usize::from(host.index);
     let peering = file.peer_listen.filter(|_| settings.may_tell && !file.peers.is_empty());
@@ -154,10 +154,14 @@
     })
 }
 
-/// Callers' connections take three quarters of the descriptors: callers hold a third, and clients that say
-/// nothing must not shut them out. The rest is for call servers, the name service and the program.
+/// Descriptors kept from callers at least, where they can be: for the program itself, its listeners and files, the name
+/// service, operators, and connections to a few call servers.
+const KEPT: usize = 40;
+
+/// Callers' connections take three quarters of the descriptors, less where the rest would be under [`KEPT`], but never
+/// under the third that callers may hold: clients that say nothing must not shut them out, nor anybody else.
 fn callers_max(sockets: usize) -> usize {
-    (sockets / 4 * 3).max(1)
+    (sockets / 4 * 3).min(sockets.saturating_sub(KEPT)).max(sockets / 3).max(1)
 }
 
 /// The seed is hexadecimal; any other text still makes one.
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -1,6 +1,8 @@
 //! The program as a process, seen from its callers, its call servers and its name service.
 
 mod crossings;
+mod descriptors;
+mod readiness;
 mod rig;
 mod speech;
 mod start_signals;
--- a/tests/process/start_signals.rs
+++ b/tests/process/start_signals.rs
@@ -9,16 +9,15 @@
 use std::process::Command;
 use std::sync::mpsc;
 
-/// Descriptors that the program may have.
-const SOCKETS: usize = 1024;
-
 /// Starts the program with these call servers known, and returns once it waits for the text of its configuration: what
 /// is written into the FIFO.
 fn start_on_a_fifo(servers: &[&Server]) -> (Program, Names, File) {
     let make_fifo = |path: &Path, _config: &str| {
         assert!(Command::new("mkfifo").arg(path).status().unwrap().success());
     };
-    let (program, names) = launch_on(servers, SOCKETS, None, make_fifo);
+    let listed: Vec<Listed> = servers.iter().map(|server| server.listed.clone()).collect();
+    let text = servers.iter().any(|server| server.text);
+    let (program, names) = launch_on(&listed, text, Start::default(), make_fifo);
     let fifo = open_once_it_is_read(program.config_path());
     (program, names, fifo)
 }
