Say bad input in warnings, one line for each kind and five seconds

Need: what callers, call servers and the name service send that can't be read was logged at debug level, or at info without any limit, so that an operator saw nothing of it or a log full of it.

Change: `rate_limited_log` decides by kind and time which line is written, and the next one names how many were left out; the engine has a limiter of its own, connections and the name service share one. Codecs say why bytes can't be read by a typed error (`codec::unreadable`). Tests on real sockets play each kind 200 times beside a call that stands and a set-up that is open.

--- a/src/codec/h248/callers.rs
+++ b/src/codec/h248/callers.rs
@@ -14,6 +14,7 @@
 use super::tree::{Item, Token};
 use super::{Open, context, header, next, quote, syntax, unquote};
 use crate::codec::common::{MESSAGE_MAX, bounded, extras as read_extras};
+use crate::codec::unreadable::at_end;
 use crate::engine::{Fault, FromCaller, Release, SetUp, ToCaller};
 use crate::interface::CallId;
 use bytes::{BufMut, BytesMut};
@@ -175,6 +176,10 @@
         self.framer = framer;
         message
     }
+
+    fn decode_eof(&mut self, bytes: &mut BytesMut) -> io::Result<Option<FromCaller>> {
+        at_end(self.decode(bytes)?, bytes)
+    }
 }
 
 fn error(code: u16, text: &str) -> String {
--- a/src/codec/h248/frame.rs
+++ b/src/codec/h248/frame.rs
@@ -5,6 +5,7 @@
 //! `Error`) is a frame of its own once its braces close. The header, where one stands before it, is part of the
 //! frame. The scan keeps its place between reads, so a message split byte by byte costs no more than a whole one.
 
+use crate::codec::unreadable::Unreadable;
 use bytes::{Bytes, BytesMut};
 use std::io;
 
@@ -32,11 +33,13 @@
 
 impl From<FrameError> for io::Error {
     fn from(error: FrameError) -> io::Error {
-        let text = match error {
-            FrameError::TooLong(most) => format!("no whole H.248 item in {most} bytes"),
-            FrameError::Unbalanced => "a closing brace with none open".to_owned(),
+        let cause = match error {
+            FrameError::TooLong(most) => {
+                Unreadable::Oversized(format!("no whole H.248 item in {most} bytes"))
+            }
+            FrameError::Unbalanced => Unreadable::Malformed("a closing brace with none open".to_owned()),
         };
-        io::Error::new(io::ErrorKind::InvalidData, text)
+        cause.into()
     }
 }
 
--- a/src/codec/h248/mod.rs
+++ b/src/codec/h248/mod.rs
@@ -14,6 +14,7 @@
 pub mod servers;
 pub mod tree;
 
+use super::unreadable::Unreadable;
 use percent_encoding::{AsciiSet, CONTROLS, percent_decode_str, utf8_percent_encode};
 use std::collections::HashMap;
 use std::fmt::Write;
@@ -64,7 +65,7 @@
 }
 
 fn syntax(error: impl std::fmt::Display) -> io::Error {
-    io::Error::new(io::ErrorKind::InvalidData, error.to_string())
+    Unreadable::Malformed(error.to_string()).into()
 }
 
 /// Open transactions of one connection by a key, bounded by [`OPEN_MAX`].
--- a/src/codec/h248/servers.rs
+++ b/src/codec/h248/servers.rs
@@ -17,6 +17,7 @@
 use super::tree::{Item, Token};
 use super::{Open, context, header, next, quote, syntax, unquote};
 use crate::codec::common::{MESSAGE_MAX, ending, load};
+use crate::codec::unreadable::at_end;
 use crate::engine::{Ending, FromServer, ToServer};
 use crate::interface::{CallId, LoadReport};
 use bytes::{BufMut, BytesMut};
@@ -155,6 +156,10 @@
         self.framer = framer;
         message
     }
+
+    fn decode_eof(&mut self, bytes: &mut BytesMut) -> io::Result<Option<FromServer>> {
+        at_end(self.decode(bytes)?, bytes)
+    }
 }
 
 impl Encoder<&ToServer> for ServerCodec {
--- a/src/codec/mod.rs
+++ b/src/codec/mod.rs
@@ -4,3 +4,4 @@
 pub mod common;
 pub mod h248;
 pub mod peers;
+pub mod unreadable;
--- a/src/engine/answers.rs
+++ b/src/engine/answers.rs
@@ -4,6 +4,7 @@
 use super::{CallerConn, Effect, Ending, Engine, Release, ServerConn, ToCaller, ToServer};
 use crate::audit::Decision;
 use crate::interface::{self as module, CallId, LoadReport, Outcome, ServerId};
+use crate::rate_limited_log::BadInput;
 
 impl Engine {
     pub(super) fn answered_by(
@@ -20,6 +21,10 @@
         }
         let out_there = |a: &Attempt| a.server == server && matches!(a.stage, Stage::Out(_));
         let call = call.filter(|c| !c.answered && c.attempt.as_ref().is_some_and(out_there));
+        if call.is_some() && description.is_none() {
+            let details = format_args!("{}, call {:016x}", self.fleet.name(server), id.0);
+            self.bad_input.write(BadInput::ServerAnswerIncomplete, self.now, details);
+        }
         let Some((call, description)) = call.zip(description) else {
             // It crossed the call's end, or its description is missing: nobody will hear of it, so what
             // stands there is released. An attempt being called off has its release on the way.
--- a/src/engine/callers.rs
+++ b/src/engine/callers.rs
@@ -3,6 +3,7 @@
 use super::operators::FIRST_WORD_MS;
 use super::{CallerConn, Due, Effect, Engine, Fault, FromCaller, Release, ToCaller};
 use crate::interface::CallId;
+use crate::rate_limited_log::BadInput;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// A connection that has asked nothing whole for so long is closed, ms. Who connects and says nothing, or half a
@@ -249,11 +250,14 @@
         if self.calls.conn_of(call) == Some(conn) {
             self.released_by_caller(conn, call, out);
         }
+        let details = format_args!("caller {}, call {:016x}: {fault:?}", conn.0, call.0);
+        self.bad_input.write(BadInput::CallerMessageRefused, self.now, details);
         out.push(Effect::ToCaller { conn, message: ToCaller::Unreadable { call, fault } });
         if let Some(c) = self.callers.conns.get_mut(&conn) {
             c.faults += 1;
             if c.faults >= FAULTS_MAX {
-                log::debug!("caller {}: too much that can't be taken up", conn.0);
+                let details = format_args!("caller {}: its connection is closed", conn.0);
+                self.bad_input.write(BadInput::CallerFaults, self.now, details);
                 self.close_caller(conn, out);
             }
         }
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -28,6 +28,7 @@
 use crate::interface::{self as module, Action, CallId, Outcome, ServerId, Settings};
 use crate::limits::Limits;
 use crate::policy::Controller;
+use crate::rate_limited_log::LogRateLimit;
 use crate::recovery::Recovery;
 use crate::settings::HostSettings;
 use callers::Callers;
@@ -120,6 +121,8 @@
     /// How set-ups ended, by class, and the attempts sent: what operators read.
     outcomes: Vec<Outcomes>,
     tries: u64,
+    /// Which lines about bad input are written.
+    bad_input: LogRateLimit,
     exiting: bool,
 }
 
@@ -158,6 +161,7 @@
             audited: false,
             outcomes: Vec::new(),
             tries: 0,
+            bad_input: LogRateLimit::default(),
             exiting: false,
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod logger;
 pub mod net;
 pub mod policy;
+pub mod rate_limited_log;
 pub mod recovery;
 pub mod reservations;
 pub mod settings;
--- a/src/net/callers.rs
+++ b/src/net/callers.rs
@@ -4,8 +4,10 @@
 use crate::clock::Clock;
 use crate::codec::common::{MESSAGE_MAX, bounded, extras};
 use crate::codec::h248::callers::CallerCodec;
+use crate::codec::unreadable::{Unreadable, at_end};
 use crate::engine::{CallerConn, Event, Fault, FromCaller, Release, SetUp, ToCaller};
 use crate::interface::CallId;
+use crate::rate_limited_log::{BadInput, RateLimitedLog};
 use bytes::{Buf, BufMut, BytesMut};
 use futures_util::{SinkExt, StreamExt};
 use std::io;
@@ -59,7 +61,9 @@
             // Nothing that follows such a length can be told apart: the connection is of no more use.
             if !(HEAD..=MESSAGE_MAX).contains(&length) {
                 let text = format!("a message of {length} bytes");
-                return Err(io::Error::new(io::ErrorKind::InvalidData, text));
+                let oversized = length > MESSAGE_MAX;
+                let cause = if oversized { Unreadable::Oversized(text) } else { Unreadable::Malformed(text) };
+                return Err(cause.into());
             }
             if bytes.len() < 2 + length {
                 bytes.reserve(2 + length - bytes.len());
@@ -72,6 +76,10 @@
         }
         Ok(None)
     }
+
+    fn decode_eof(&mut self, bytes: &mut BytesMut) -> io::Result<Option<FromCaller>> {
+        at_end(self.decode(bytes)?, bytes)
+    }
 }
 
 /// Reads a message; one that means nothing is passed over.
@@ -226,6 +234,7 @@
     mut queue: mpsc::Receiver<ToCaller>,
     events: mpsc::Sender<Event>,
     clock: Clock,
+    bad_input: RateLimitedLog,
 ) {
     let mut framed = Framed::new(stream, codec);
     let mut halves = HalfMessages::new(HALF_MAX);
@@ -234,7 +243,13 @@
     loop {
         tokio::select! {
             message = queue.recv() => {
-                let Some(message) = message else { break };
+                let Some(message) = message else {
+                    // The engine closes a connection that has said nothing whole.
+                    if halves.any() {
+                        log_error(&bad_input, conn, &Unreadable::Half.into());
+                    }
+                    break;
+                };
                 let mut batch = vec![message];
                 while let Ok(message) = queue.try_recv() {
                     batch.push(message);
@@ -247,7 +262,7 @@
             }
             () = halves.due(), if reading => {
                 if let Err(e) = halves.look(framed.read_buffer()) {
-                    log::debug!("caller {}: {e}", conn.0);
+                    log_error(&bad_input, conn, &e);
                     break;
                 }
             }
@@ -256,7 +271,7 @@
                 let event = match message {
                     Some(Ok(message)) => Event::Caller { conn, read_at: clock.read_at(), message },
                     Some(Err(e)) => {
-                        log::debug!("caller {}: {e}", conn.0);
+                        log_error(&bad_input, conn, &e);
                         if let Some(last) = framed.codec().farewell(&e) {
                             let _ = timeout(LAST_WORD, last_word(framed.get_mut(), &last)).await;
                         }
@@ -281,6 +296,16 @@
     let _ = events.send(Event::CallerClosed { conn, unsent }).await;
 }
 
+/// Bad input gets a line of the rate-limited log; how a connection failed is of no interest to operators.
+fn log_error(bad_input: &RateLimitedLog, conn: CallerConn, error: &io::Error) {
+    match Unreadable::in_error(error) {
+        Some(cause) => {
+            bad_input.write(BadInput::of_caller(cause), format_args!("caller {}: {error}", conn.0));
+        }
+        None => log::debug!("caller {}: {error}", conn.0),
+    }
+}
+
 async fn write<C: CallerFront>(framed: &mut Framed<TcpStream, C>, batch: &[ToCaller]) -> io::Result<()> {
     for message in batch {
         framed.feed(message.clone()).await?;
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -16,6 +16,7 @@
 use crate::fronts::Fronts;
 use crate::limits::{LimitSettings, Limits};
 use crate::logger;
+use crate::rate_limited_log::RateLimitedLog;
 use crate::recovery::{Recovery, SiteSettings};
 use crate::terms::Member;
 use crate::version::{Status, Version};
@@ -99,7 +100,7 @@
         driver.peers = Some((sending, hearing));
     }
     tokio::task::spawn_local(beat(driver.clock.clone()));
-    tokio::task::spawn_local(names::poll(at, config.seed, sender));
+    tokio::task::spawn_local(names::poll(at, config.seed, sender, driver.bad_input.clone()));
     let listening = listener.local_addr().map_err(|e| format!("listening: {e}"))?;
     let heirs = Heirs::join(listening);
     let (asks, mut questions) = mpsc::channel(OPERATOR_QUEUE);
@@ -191,6 +192,8 @@
     reload_failed: Option<String>,
     audit: Option<Writer>,
     clock: Clock,
+    /// Lines about what peers sent that can't be read.
+    bad_input: RateLimitedLog,
     events: mpsc::Sender<Event>,
     /// Where the name service is.
     names: watch::Sender<SocketAddr>,
@@ -266,6 +269,7 @@
             list: config.serial,
             reload_failed: None,
             audit,
+            bad_input: RateLimitedLog::new(clock.clone()),
             clock,
             events,
             names,
@@ -415,10 +419,11 @@
                 let (queue, orders) = mpsc::channel(WRITE_QUEUE);
                 self.servers.insert(conn, queue);
                 let timeout = Duration::from_secs_f64(timeout_ms.clamp(1.0, 60_000.0) / 1000.0);
-                let events = self.events.clone();
+                let (events, bad_input) = (self.events.clone(), self.bad_input.clone());
                 if self.fronts.speaks_text(addr) {
                     let codec = ServerCodec::new(&self.fronts.mid);
-                    self.tasks.spawn_local(servers::serve(codec, addr, timeout, conn, orders, events));
+                    self.tasks
+                        .spawn_local(servers::serve(codec, addr, timeout, conn, orders, events, bad_input));
                 } else {
                     self.tasks.spawn_local(servers::serve(
                         servers::Codec::default(),
@@ -427,6 +432,7 @@
                         conn,
                         orders,
                         events,
+                        bad_input,
                     ));
                 }
             }
@@ -539,13 +545,21 @@
         let (queue, messages) = mpsc::channel(WRITE_QUEUE);
         self.callers.insert(conn, queue);
         let (events, clock) = (self.events.clone(), self.clock.clone());
+        let bad_input = self.bad_input.clone();
         match speech {
-            Speech::Binary => {
-                self.tasks.spawn_local(callers::serve(stream, callers::Codec, conn, messages, events, clock))
-            }
+            Speech::Binary => self.tasks.spawn_local(callers::serve(
+                stream,
+                callers::Codec,
+                conn,
+                messages,
+                events,
+                clock,
+                bad_input,
+            )),
             Speech::Text => {
                 let codec = CallerCodec::new(&self.fronts.mid);
-                self.tasks.spawn_local(callers::serve(stream, codec, conn, messages, events, clock))
+                self.tasks
+                    .spawn_local(callers::serve(stream, codec, conn, messages, events, clock, bad_input))
             }
         };
         self.step(Event::CallerOpened(conn));
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -11,6 +11,7 @@
 pub mod peers;
 pub mod servers;
 
+use crate::codec::unreadable::Unreadable;
 use std::time::{Duration, Instant};
 
 /// A peer that takes nothing for so long is given up.
@@ -42,7 +43,12 @@
             return Ok(());
         }
         let since = *self.since.get_or_insert_with(Instant::now);
-        if since.elapsed() < self.most { Ok(()) } else { Err(std::io::Error::other("half a message")) }
+        if since.elapsed() < self.most { Ok(()) } else { Err(Unreadable::Half.into()) }
+    }
+
+    /// Whether half a message lay there at the last look.
+    fn any(&self) -> bool {
+        self.since.is_some()
     }
 
     fn got_whole(&mut self) {
--- a/src/net/names.rs
+++ b/src/net/names.rs
@@ -2,6 +2,7 @@
 
 use crate::engine::{Event, Listing};
 use crate::interface::Listed;
+use crate::rate_limited_log::{BadInput, RateLimitedLog};
 use hickory_proto::op::{Message, MessageType, Query, ResponseCode};
 use hickory_proto::rr::{DNSClass, Name, RData, Record, RecordType};
 use std::collections::{HashMap, VecDeque};
@@ -23,11 +24,16 @@
 const ANSWER_MAX: usize = 16 * 1024;
 
 /// Asks for the list for as long as the program runs, at the address that `server` holds at the time.
-pub async fn poll(mut server: watch::Receiver<SocketAddr>, seed: u64, events: mpsc::Sender<Event>) {
+pub async fn poll(
+    mut server: watch::Receiver<SocketAddr>,
+    seed: u64,
+    events: mpsc::Sender<Event>,
+    bad_input: RateLimitedLog,
+) {
     let mut rng = fastrand::Rng::with_seed(seed);
     loop {
         let addr = *server.borrow_and_update();
-        match ask(addr, &mut server, &mut rng, &events).await {
+        match ask(addr, &mut server, &mut rng, &events, &bad_input).await {
             Ok(true) => log::info!("name service: now at {}", *server.borrow()),
             Ok(false) => return,
             // No descriptor may be free for a moment: the list must be asked for all the same, later.
@@ -45,6 +51,7 @@
     server: &mut watch::Receiver<SocketAddr>,
     rng: &mut fastrand::Rng,
     events: &mpsc::Sender<Event>,
+    bad_input: &RateLimitedLog,
 ) -> io::Result<bool> {
     let socket = UdpSocket::bind(SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0)).await?;
     // Only what comes from the name service's own address is received.
@@ -68,14 +75,20 @@
                 }
             }
             got = socket.recv(&mut buffer) => {
-                let answer = got.map_err(|e| e.to_string()).and_then(|n| read(&buffer[..n], &asked));
-                match answer {
+                let length = match got {
+                    Ok(length) => length,
+                    Err(e) => {
+                        log::debug!("name service: {e}");
+                        continue;
+                    }
+                };
+                match read(&buffer[..length], &asked) {
                     Ok((serial, servers)) => {
                         if events.send(Event::List { serial, servers }).await.is_err() {
                             return Ok(false);
                         }
                     }
-                    Err(e) => log::debug!("name service: {e}"),
+                    Err(e) => bad_input.write(BadInput::ListUnreadable, format_args!("{e}")),
                 }
             }
         }
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -2,8 +2,10 @@
 
 use super::{HalfMessages, WRITE_STALL};
 use crate::codec::common::{MESSAGE_MAX, NORMAL, RESET, ending, load};
+use crate::codec::unreadable::{Unreadable, at_end};
 use crate::engine::{Event, FromServer, Lost, ServerConn, ToServer};
 use crate::interface::CallId;
+use crate::rate_limited_log::{BadInput, RateLimitedLog};
 use bytes::{BufMut, BytesMut};
 use futures_util::{SinkExt, StreamExt};
 use serde::{Deserialize, Serialize};
@@ -43,18 +45,28 @@
         }
         Ok(None)
     }
+
+    fn decode_eof(&mut self, bytes: &mut BytesMut) -> io::Result<Option<FromServer>> {
+        at_end(self.decode(bytes)?, bytes)
+    }
 }
 
 fn lines_error(error: LinesCodecError) -> io::Error {
     match error {
         LinesCodecError::Io(e) => e,
-        other => io::Error::new(io::ErrorKind::InvalidData, other),
+        LinesCodecError::MaxLineLengthExceeded => {
+            Unreadable::Oversized(format!("a line of over {MESSAGE_MAX} bytes")).into()
+        }
     }
 }
 
+fn json_error(error: serde_json::Error) -> io::Error {
+    Unreadable::Malformed(error.to_string()).into()
+}
+
 /// Reads a line; what is no JSON object is an error, one of unknown type or without its call is passed over.
 fn read(line: &str) -> io::Result<Option<FromServer>> {
-    let object: Map<String, Value> = serde_json::from_str(line)?;
+    let object: Map<String, Value> = serde_json::from_str(line).map_err(json_error)?;
     let text = |name: &str| object.get(name).and_then(Value::as_str);
     let any = |name: &str| object.get("f").and_then(|f| f.get(name));
     let field = |name: &str| any(name).and_then(Value::as_str);
@@ -157,6 +169,7 @@
     conn: ServerConn,
     mut queue: mpsc::Receiver<Order>,
     events: mpsc::Sender<Event>,
+    bad_input: RateLimitedLog,
 ) {
     let how = match timeout(dial_timeout, TcpStream::connect(addr)).await {
         Ok(Ok(stream)) => {
@@ -166,7 +179,7 @@
             if events.send(Event::ServerOpened(conn)).await.is_err() {
                 return;
             }
-            exchange(Framed::new(stream, codec), conn, &mut queue, &events).await
+            exchange(Framed::new(stream, codec), conn, &mut queue, &events, &bad_input).await
         }
         Ok(Err(e)) if e.kind() == io::ErrorKind::ConnectionRefused => Lost::Refused,
         Ok(Err(e)) => {
@@ -183,6 +196,7 @@
     conn: ServerConn,
     queue: &mut mpsc::Receiver<Order>,
     events: &mpsc::Sender<Event>,
+    bad_input: &RateLimitedLog,
 ) -> Lost {
     let mut halves = HalfMessages::new(HALF_MAX);
     loop {
@@ -218,7 +232,13 @@
             Ok(()) => {}
             Err(e) if e.kind() == io::ErrorKind::ConnectionReset => return Lost::Reset,
             Err(e) => {
-                log::info!("connection {} to a call server: {e}", conn.0);
+                match Unreadable::in_error(&e) {
+                    Some(cause) => bad_input.write(
+                        BadInput::of_server(cause),
+                        format_args!("connection {} to a call server: {e}", conn.0),
+                    ),
+                    None => log::info!("connection {} to a call server: {e}", conn.0),
+                }
                 return Lost::Closed;
             }
         }
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -1,5 +1,6 @@
 //! The program as a process, seen from its callers, its call servers and its name service.
 
+mod bad_input;
 mod rig;
 mod speech;
 mod text;
--- a/tests/process/rig.rs
+++ b/tests/process/rig.rs
@@ -48,6 +48,8 @@
     /// So many queries get no answer, and so many an answer that can't be read.
     pub lose: u32,
     pub garble: u32,
+    /// Datagrams that go out before the next answer, as they stand.
+    pub stray: Vec<Vec<u8>>,
     /// Records that fill an answer up.
     pub ballast: usize,
     pub longest: usize,
@@ -69,6 +71,9 @@
                     state.lose -= 1;
                     continue;
                 }
+                for datagram in std::mem::take(&mut state.stray) {
+                    socket.send_to(&datagram, from).unwrap();
+                }
                 let mut answer = state.answer(&Message::from_vec(&buffer[..n]).unwrap());
                 if state.garble > 0 {
                     state.garble -= 1;
@@ -153,15 +158,20 @@
         Server { text: false, ..Server::start(id, place) }
     }
 
+    /// The next connection, before its first word, if there is one already.
+    pub fn try_accept_mute(&self) -> Option<Link> {
+        self.listener.set_nonblocking(true).unwrap();
+        self.listener.accept().ok().map(|(stream, _)| Link::new(stream, self.text))
+    }
+
     /// The next connection, before its first word.
     pub fn accept_mute(&self) -> Link {
-        self.listener.set_nonblocking(true).unwrap();
         let since = Instant::now();
         loop {
-            match self.listener.accept() {
-                Ok((stream, _)) => return Link::new(stream, self.text),
-                Err(_) => assert!(since.elapsed() < PATIENCE, "the program does not connect"),
+            if let Some(link) = self.try_accept_mute() {
+                return link;
             }
+            assert!(since.elapsed() < PATIENCE, "the program does not connect");
             std::thread::sleep(Duration::from_millis(2));
         }
     }
@@ -202,6 +212,11 @@
         self.lines.get_mut().write_all(text.as_bytes()).unwrap();
     }
 
+    /// Shuts this side of the connection: nothing more is said.
+    pub fn shut(&self) {
+        self.lines.get_ref().shutdown(std::net::Shutdown::Write).unwrap();
+    }
+
     /// The next line, or none if the connection was closed.
     pub fn hear(&mut self) -> Option<Value> {
         if let Some(speech) = self.text.as_mut() {
@@ -250,19 +265,22 @@
         open
     }
 
+    /// Whether something has come and was not heard yet.
+    pub fn speaks(&self) -> bool {
+        let stream = self.lines.get_ref();
+        stream.set_nonblocking(true).unwrap();
+        let unread = self.text.as_ref().is_some_and(|t| t.unread.iter().any(|b| !b.is_ascii_whitespace()));
+        let came = stream.peek(&mut [0]).is_ok_and(|n| n > 0) || !self.lines.buffer().is_empty() || unread;
+        stream.set_nonblocking(false).unwrap();
+        came
+    }
+
     /// Waits until something has come on one of two connections: true if it was on this one.
     pub fn speaks_before(&mut self, other: &mut Link) -> bool {
         let since = Instant::now();
         loop {
             for (link, own) in [(&*self, true), (&*other, false)] {
-                let stream = link.lines.get_ref();
-                stream.set_nonblocking(true).unwrap();
-                let unread =
-                    link.text.as_ref().is_some_and(|t| t.unread.iter().any(|b| !b.is_ascii_whitespace()));
-                let came =
-                    stream.peek(&mut [0]).is_ok_and(|n| n > 0) || !link.lines.buffer().is_empty() || unread;
-                stream.set_nonblocking(false).unwrap();
-                if came {
+                if link.speaks() {
                     return own;
                 }
             }
@@ -398,6 +416,9 @@
     }
 }
 
+/// The lines of a program's log so far.
+type Log = Arc<Mutex<Vec<String>>>;
+
 /// The program, and the folder of its configuration.
 pub struct Program {
     pub child: Child,
@@ -405,6 +426,7 @@
     management: SocketAddr,
     folder: std::path::PathBuf,
     config: Value,
+    log: Log,
 }
 
 impl Program {
@@ -441,9 +463,10 @@
 
     /// Another process of the program, at the same address for callers.
     pub fn successor(&self) -> Program {
-        let (child, addr, management) = spawn(&self.folder, &["serve", "--listen", &self.addr.to_string()]);
+        let (child, addr, management, log) =
+            spawn(&self.folder, &["serve", "--listen", &self.addr.to_string()]);
         assert_eq!(addr, self.addr);
-        Program { child, addr, management, folder: self.folder.clone(), config: self.config.clone() }
+        Program { child, addr, management, folder: self.folder.clone(), config: self.config.clone(), log }
     }
 
     pub fn terminate(&self) {
@@ -470,6 +493,24 @@
         self.signal("-HUP");
     }
 
+    /// All lines logged so far: a reload that fails is logged after them, and is waited for. It replaces the
+    /// configuration's file.
+    pub fn log_lines(&self) -> Vec<String> {
+        let reloads =
+            |lines: &[String]| lines.iter().filter(|l| l.contains("configuration stays as it was")).count();
+        let before = reloads(&self.log.lock().unwrap());
+        self.reload("");
+        let since = Instant::now();
+        loop {
+            let lines = self.log.lock().unwrap().clone();
+            if reloads(&lines) > before {
+                return lines;
+            }
+            assert!(since.elapsed() < PATIENCE, "the program logs no reload");
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+
     pub fn wait(&mut self) -> ExitStatus {
         let since = Instant::now();
         loop {
@@ -546,8 +587,8 @@
         arguments.extend(["--fronts".to_owned(), path.to_str().unwrap().to_owned()]);
     }
     let arguments: Vec<&str> = arguments.iter().map(String::as_str).collect();
-    let (child, text, addr, management) = spawn_text(&folder, &arguments, text_callers);
-    (Program { child, addr, management, folder, config }, names, text)
+    let (child, text, addr, management, log) = spawn_text(&folder, &arguments, text_callers);
+    (Program { child, addr, management, folder, config, log }, names, text)
 }
 
 /// The same with an operator's file of fronts; with `text_callers` it says where text callers connect.
@@ -560,9 +601,9 @@
 }
 
 /// Starts a process with the configuration and the `$TMPDIR` in this folder; it tells its two addresses.
-fn spawn(folder: &std::path::Path, arguments: &[&str]) -> (Child, SocketAddr, SocketAddr) {
-    let (child, _, addr, management) = spawn_text(folder, arguments, false);
-    (child, addr, management)
+fn spawn(folder: &std::path::Path, arguments: &[&str]) -> (Child, SocketAddr, SocketAddr, Log) {
+    let (child, _, addr, management, log) = spawn_text(folder, arguments, false);
+    (child, addr, management, log)
 }
 
 /// The same; with `text`, the process tells the text callers' address first.
@@ -570,7 +611,7 @@
     folder: &std::path::Path,
     arguments: &[&str],
     text: bool,
-) -> (Child, Option<SocketAddr>, SocketAddr, SocketAddr) {
+) -> (Child, Option<SocketAddr>, SocketAddr, SocketAddr, Log) {
     let mut command = run(arguments);
     command.env("GW_CONFIG", folder.join("config.json")).env("TMPDIR", folder);
     // A successor speaks as its forerunner.
@@ -590,10 +631,18 @@
     let text = text.then(|| told("text callers on "));
     let (management, addr) = (told("operators on "), told("listening on "));
     // The log is read on, or the program would stand still once the pipe is full.
-    // The log is kept where CORKREACH_RIG_LOG says, for a look at a failure.
-    std::thread::spawn(move || match std::env::var_os("CORKREACH_RIG_LOG") {
-        Some(path) => std::fs::File::create(path).and_then(|mut file| std::io::copy(&mut log, &mut file)),
-        None => std::io::copy(&mut log, &mut std::io::sink()),
+    // The log is kept where CORKREACH_RIG_LOG says too, for a look at a failure.
+    let lines = Log::default();
+    let kept = lines.clone();
+    std::thread::spawn(move || {
+        let path = std::env::var_os("CORKREACH_RIG_LOG");
+        let mut file = path.map(|path| std::fs::File::create(path).unwrap());
+        for line in log.lines().map_while(Result::ok) {
+            if let Some(file) = &mut file {
+                writeln!(file, "{line}").unwrap();
+            }
+            kept.lock().unwrap().push(line);
+        }
     });
-    (child, text, addr, management)
+    (child, text, addr, management, lines)
 }
