Leave an attempt alone when another call server answers the call

Cause: an answer that came after the call was tried elsewhere was not told from one at the call server of the attempt: the attempt there was called off, and what stood at the call server that answered was not released.

Change: the stage of the attempt counts only if it is at the call server that answered.

Measured: the new test failed without the change (no release came to the call server that answered).

--- a/src/engine/answers.rs
+++ b/src/engine/answers.rs
@@ -27,9 +27,10 @@
         }
         let Some((call, description)) = call.zip(description) else {
             // It crossed the call's end, or its description is missing: nobody will hear of it, so what
-            // stands there is released. An attempt being called off has its release on the way.
-            let stage = self.calls.live.get(&id).and_then(|c| c.attempt.as_ref()).map(|a| a.stage);
-            match stage {
+            // stands there is released. An attempt being called off has its release on the way. One at another
+            // call server is not touched.
+            let attempt = self.calls.live.get(&id).and_then(|c| c.attempt.as_ref());
+            match attempt.filter(|a| a.server == server).map(|a| a.stage) {
                 Some(Stage::Out(_)) => self.end_out(id, Outcome::Reset, out),
                 Some(Stage::Ending(on, _)) if on == conn => {}
                 _ => self.release_at(server, Some(conn), id, out),
--- a/tests/process/bad_input.rs
+++ b/tests/process/bad_input.rs
@@ -465,3 +465,21 @@
     lb.expect("ack", 7);
     assert!(caller.test(), "nothing but the test's answer comes");
 }
+
+/// A call server answers what it has refused: that is released there, and the attempt at the other one is not touched.
+#[test]
+fn an_answer_after_a_refusal_ends_no_attempt_elsewhere() {
+    let (_a, _b, _program, _names, mut la, mut lb, mut caller) = two();
+    caller.set_up(7, 0, 9000);
+    la.expect("new", 7);
+    la.down(7, 34, json!({"note": "ovl", "load": "x0:90;x1:100;latency_ms:4000;qps:1"}));
+    lb.expect("new", 7);
+    la.up(7);
+    la.expect("down", 7);
+    lb.up(7);
+    caller.expect(9, 7, None);
+    lb.down(7, 16, json!({}));
+    caller.expect(12, 7, Some(16));
+    lb.expect("ack", 7);
+    assert!(caller.test(), "nothing but the test's answer comes");
+}
