Drop a list that names a call server twice, each time otherwise

Cause: such a list was followed entry by entry: the second address closed the connections to the first, with the set-ups on them.

Change: the answer is dropped whole as unreadable; the same entry said twice is one.

Measured: the new test failed without the change (the second address was dialled).

--- a/src/net/names.rs
+++ b/src/net/names.rs
@@ -137,7 +137,7 @@
         }
     }
     let wanted = |r: &&Record| r.name.eq_ignore_root(&pool) && r.dns_class == DNSClass::IN;
-    let mut servers = Vec::new();
+    let mut servers: Vec<Listing> = Vec::new();
     for record in message.answers.iter().filter(wanted) {
         let RData::SRV(srv) = &record.data else { continue };
         let target = srv.target.to_lowercase();
@@ -150,14 +150,19 @@
         let place =
             field("cell").and_then(|v| v.parse().ok()).ok_or_else(|| format!("no cell of {target}"))?;
         let started_at: Option<f64> = field("started").and_then(|v| v.parse().ok());
-        servers.push(Listing {
+        let listing = Listing {
             name: String::from_utf8_lossy(label).into_owned(),
             zone: target.iter().nth(1).map(|zone| String::from_utf8_lossy(zone).into_owned()),
             addr: SocketAddr::from((*address, srv.port)),
             place,
             state: if srv.priority == 0 { Listed::Ready } else { Listed::Draining },
             started_at: started_at.filter(|&ms| ms > 0.0),
-        });
+        };
+        match servers.iter().find(|known| known.name == listing.name) {
+            None => servers.push(listing),
+            Some(known) if *known == listing => {}
+            Some(_) => return Err(format!("{target} is listed twice, each time otherwise")),
+        }
     }
     Ok((serial, servers))
 }
--- a/tests/process/bad_input.rs
+++ b/tests/process/bad_input.rs
@@ -285,6 +285,28 @@
     other.expect(9, 7, None);
 }
 
+/// A server listed twice at different addresses: nobody could say which holds, so the list is dropped whole.
+#[test]
+fn a_list_that_contradicts_itself_is_dropped() {
+    let (a, b, program, names, la, mut lb, caller) = two();
+    let bystander = Bystander::new(caller, la);
+    let mut other = program.ready_caller();
+    let since = Instant::now();
+    let elsewhere = Server::start("s-a", 0);
+    names.change(vec![a.listed.clone(), elsewhere.listed.clone(), b.listed.clone()], |_| {});
+    elsewhere.listener.set_nonblocking(true).unwrap();
+    assert!(elsewhere.listener.accept().is_err(), "nothing goes to the second address");
+    assert_one_line(&program, BadInput::ListUnreadable, since);
+    bystander.finish();
+    // Said twice alike it is one server, and the list is followed.
+    let draining = Listed { draining: true, ..a.listed.clone() };
+    names.change(vec![draining.clone(), draining, b.listed.clone()], |_| {});
+    other.set_up(7, 0, 9000);
+    lb.expect("new", 7);
+    lb.up(7);
+    other.expect(9, 7, None);
+}
+
 /// A newer list without any server says that all are gone: what stood is cut, what is open gets its final answer,
 /// and the next list is followed.
 #[test]
