Answer the set-ups of a caller that shuts its side in the middle of a message

Cause: half a message at the end of the stream was an error that closed the connection at once, so the set-ups open on it were given up, though a caller that shuts its side is owed its answers.

Change: it is the end of the stream like any other, with a line in the log. A text caller is still told of it first.

Measured: the new test failed without the change (the connection was closed, no answer came).

--- a/src/net/callers.rs
+++ b/src/net/callers.rs
@@ -270,6 +270,15 @@
                 halves.got_whole();
                 let event = match message {
                     Some(Ok(message)) => Event::Caller { conn, read_at: clock.read_at(), message },
+                    Some(Err(e)) if Unreadable::in_error(&e) == Some(&Unreadable::Half) => {
+                        log_error(&bad_input, conn, &e);
+                        if let Some(last) = framed.codec().farewell(&e) {
+                            let _ = timeout(LAST_WORD, framed.get_mut().write_all(&last)).await;
+                        }
+                        reading = false;
+                        // Its set-ups are answered before the connection is closed.
+                        Event::CallerEof(conn)
+                    }
                     Some(Err(e)) => {
                         log_error(&bad_input, conn, &e);
                         if let Some(last) = framed.codec().farewell(&e) {
--- a/tests/process/bad_input.rs
+++ b/tests/process/bad_input.rs
@@ -145,6 +145,25 @@
     bystander.finish();
 }
 
+/// A caller shuts its side in the middle of a message, with a set-up open: it still hears the answer.
+#[test]
+fn half_a_message_at_a_close_takes_no_answer_away() {
+    let (_a, _b, program, _names, mut la, _lb, mut caller) = two();
+    caller.set_up(7, 0, 9000);
+    la.expect("new", 7);
+    caller.stream.write_all(&HALF).unwrap();
+    caller.stream.shutdown(Shutdown::Write).unwrap();
+    let since = Instant::now();
+    while lines_of(&program, BadInput::CallerMessageHalf).is_empty() {
+        assert!(since.elapsed() < PATIENCE, "the close is not noticed");
+    }
+    la.up(7);
+    caller.expect(9, 7, None);
+    assert_eq!(caller.hear(), None);
+    la.down(7, 16, json!({}));
+    program.caller().expect(12, 7, Some(16));
+}
+
 /// A text caller is told of the half item before its connection is closed.
 #[test]
 fn half_an_item_at_a_text_callers_close_is_answered_with_an_error() {
