Count the looks at half a message in place of reading the clock

Cause: half a message ended its connection at the first look that found 2.3 s over. Looks come every quarter of that, so the one due could be a moment early, and half a message then lay for 3.45 s, beyond the 3 s that are allowed.

Change: the fourth look after the one that saw it ends the connection, however early or late it comes.

The new unit test half_a_message_lies_for_four_looks failed with the old check.

--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -10,25 +10,31 @@
 pub mod operators;
 pub mod peers;
 pub mod servers;
+#[cfg(test)]
+mod tests;
 
 use crate::codec::unreadable::Unreadable;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// A peer that takes nothing for so long is given up.
 const WRITE_STALL: Duration = Duration::from_secs(10);
+/// So many looks after the one that first saw it, half a message has lain too long.
+const HALF_LOOKS: u32 = 4;
+
 /// Looks for half a message that goes no further. Once it has lain so long with nothing whole between, it ends its
-/// connection: what would follow it can't be told apart, and the peer may never send the rest.
+/// connection: what would follow it can't be told apart, and the peer may never send the rest. Looks are counted, and no
+/// clock is read: a look that came a moment early would find the time not quite over, and leave it to the next one.
 struct HalfMessages {
     looks: tokio::time::Interval,
-    most: Duration,
-    since: Option<Instant>,
+    /// Looks in a row that saw half a message.
+    seen: u32,
 }
 
 impl HalfMessages {
     fn new(most: Duration) -> Self {
-        let mut looks = tokio::time::interval(most / 4);
+        let mut looks = tokio::time::interval(most / HALF_LOOKS);
         looks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-        HalfMessages { looks, most, since: None }
+        HalfMessages { looks, seen: 0 }
     }
 
     /// The next look is due.
@@ -38,21 +44,17 @@
 
     /// `unread`: what came in and makes no whole message yet.
     fn look(&mut self, unread: &[u8]) -> std::io::Result<()> {
-        if unread.is_empty() {
-            self.since = None;
-            return Ok(());
-        }
-        let since = *self.since.get_or_insert_with(Instant::now);
-        if since.elapsed() < self.most { Ok(()) } else { Err(Unreadable::Half.into()) }
+        self.seen = if unread.is_empty() { 0 } else { self.seen + 1 };
+        if self.seen <= HALF_LOOKS { Ok(()) } else { Err(Unreadable::Half.into()) }
     }
 
     /// Whether half a message lay there at the last look.
     fn any(&self) -> bool {
-        self.since.is_some()
+        self.seen > 0
     }
 
     fn got_whole(&mut self) {
-        self.since = None;
+        self.seen = 0;
     }
 }
 
