--- a/src/net/callers.rs
+++ b/src/net/callers.rs
@@ -4,8 +4,10 @@
 use crate::clock::Clock;
 use crate::codec::common::{MESSAGE_MAX, bounded, extras};
 use crate::codec::h248::callers::CallerCodec;
+use crate::codec::unreadable::{Unreadable, at_end};
 use crate::engine::{CallerConn, Event, Fault, FromCaller, Release, SetUp, ToCaller};
 use crate::interface::CallId;
+use crate::rate_limited_log::{BadInput, RateLimitedLog};
 use bytes::{Buf, BufMut, BytesMut};
 use futures_util::{FutureExt, SinkExt, StreamExt};
 use std::io;
@@ -60,7 +62,9 @@
             // Nothing that follows such a length can be told apart: the connection is of no more use.
             if !(HEAD..=MESSAGE_MAX).contains(&length) {
                 let text = format!("a message of {length} bytes");
-                return Err(io::Error::new(io::ErrorKind::InvalidData, text));
+                let oversized = length > MESSAGE_MAX;
+                let cause = if oversized { Unreadable::Oversized(text) } else { Unreadable::Malformed(text) };
+                return Err(cause.into());
             }
             if bytes.len() < 2 + length {
                 bytes.reserve(2 + length - bytes.len());
@@ -73,6 +77,10 @@
         }
         Ok(None)
     }
+
+    fn decode_eof(&mut self, bytes: &mut BytesMut) -> io::Result<Option<FromCaller>> {
+        at_end(self.decode(bytes)?, bytes)
+    }
 }
 
 /// Reads a message; one that means nothing is passed over.
@@ -249,22 +257,19 @@
     mut queue: mpsc::Receiver<Order>,
     events: mpsc::Sender<Event>,
     clock: Clock,
+    bad_input: RateLimitedLog,
 ) {
     let framed = Framed::new(stream, codec);
-    let mut link = CallerLink {
-        framed,
-        conn,
-        events,
-        clock,
-        halves: HalfMessages::new(HALF_MAX),
-        reading: true,
-        passed_on: 0,
-    };
+    let halves = HalfMessages::new(HALF_MAX);
+    let mut link = CallerLink { framed, conn, events, clock, bad_input, halves, reading: true, passed_on: 0 };
     let mut unsent = Vec::new();
     loop {
         let next = tokio::select! {
             order = queue.recv() => {
-                let Some(order) = order else { break };
+                let Some(order) = order else {
+                    link.log_half_if_any();
+                    break;
+                };
                 let (batch, check) = take_orders(order, &mut queue);
                 if let Err(e) = write(&mut link.framed, &batch).await {
                     log::debug!("caller {}: {e}", conn.0);
@@ -312,6 +317,7 @@
     conn: CallerConn,
     events: mpsc::Sender<Event>,
     clock: Clock,
+    bad_input: RateLimitedLog,
     halves: HalfMessages,
     /// The caller has not shut its side.
     reading: bool,
@@ -329,8 +335,20 @@
                 self.passed_on += 1;
                 Event::Caller { conn, read_at: self.clock.read_at(), message }
             }
+            Some(Err(e)) if Unreadable::in_error(&e) == Some(&Unreadable::Half) => {
+                self.log_error(&e);
+                if let Some(last) = self.framed.codec().farewell(&e) {
+                    let _ = timeout(LAST_WORD, self.framed.get_mut().write_all(&last)).await;
+                }
+                // Its set-ups are answered before the connection is closed.
+                self.reading = false;
+                Event::CallerEof(conn)
+            }
             Some(Err(e)) => {
-                self.say_farewell(&e).await;
+                self.log_error(&e);
+                if let Some(last) = self.framed.codec().farewell(&e) {
+                    let _ = timeout(LAST_WORD, last_word(self.framed.get_mut(), &last)).await;
+                }
                 return Connection::Ends;
             }
             None => {
@@ -344,10 +362,21 @@
         }
     }
 
-    async fn say_farewell(&mut self, error: &io::Error) {
-        log::debug!("caller {}: {error}", self.conn.0);
-        if let Some(last) = self.framed.codec().farewell(error) {
-            let _ = timeout(LAST_WORD, last_word(self.framed.get_mut(), &last)).await;
+    /// Bad input gets a line of the rate-limited log; how a connection failed is of no interest to operators.
+    fn log_error(&self, error: &io::Error) {
+        match Unreadable::in_error(error) {
+            Some(cause) => {
+                let details = format_args!("caller {}: {error}", self.conn.0);
+                self.bad_input.write(BadInput::of_caller(cause), details);
+            }
+            None => log::debug!("caller {}: {error}", self.conn.0),
+        }
+    }
+
+    /// The connection is closed from here, maybe in the middle of a message.
+    fn log_half_if_any(&self) {
+        if self.halves.any() {
+            self.log_error(&Unreadable::Half.into());
         }
     }
 
@@ -355,7 +384,7 @@
         match self.halves.look(self.framed.read_buffer()) {
             Ok(()) => Connection::GoesOn,
             Err(e) => {
-                log::debug!("caller {}: {e}", self.conn.0);
+                self.log_error(&e);
                 Connection::Ends
             }
         }
@@ -374,7 +403,10 @@
         match self.framed.next().now_or_never() {
             Some(message) => self.pass_on(message).await,
             None if check.keep_partial && !self.framed.read_buffer().is_empty() => Connection::GoesOn,
-            None => Connection::Ends,
+            None => {
+                self.log_half_if_any();
+                Connection::Ends
+            }
         }
     }
 
