--- a/src/net/names.rs
+++ b/src/net/names.rs
@@ -2,6 +2,7 @@
 
 use crate::engine::{Event, Listing};
 use crate::interface::Listed;
+use crate::rate_limited_log::{BadInput, RateLimitedLog};
 use hickory_proto::op::{Message, MessageType, Query, ResponseCode};
 use hickory_proto::rr::{DNSClass, Name, RData, Record, RecordType};
 use std::collections::{HashMap, VecDeque};
@@ -23,11 +24,16 @@
 const ANSWER_MAX: usize = 16 * 1024;
 
 /// Asks for the list for as long as the program runs, at the address that `server` holds at the time.
-pub async fn poll(mut server: watch::Receiver<SocketAddr>, seed: u64, events: mpsc::Sender<Event>) {
+pub async fn poll(
+    mut server: watch::Receiver<SocketAddr>,
+    seed: u64,
+    events: mpsc::Sender<Event>,
+    bad_input: RateLimitedLog,
+) {
     let mut rng = fastrand::Rng::with_seed(seed);
     loop {
         let addr = *server.borrow_and_update();
-        match ask(addr, &mut server, &mut rng, &events).await {
+        match ask(addr, &mut server, &mut rng, &events, &bad_input).await {
             Ok(true) => log::info!("name service: now at {}", *server.borrow()),
             Ok(false) => return,
             // No descriptor may be free for a moment: the list must be asked for all the same, later.
@@ -45,6 +51,7 @@
     server: &mut watch::Receiver<SocketAddr>,
     rng: &mut fastrand::Rng,
     events: &mpsc::Sender<Event>,
+    bad_input: &RateLimitedLog,
 ) -> io::Result<bool> {
     let socket = UdpSocket::bind(SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0)).await?;
     // Only what comes from the name service's own address is received.
@@ -68,14 +75,20 @@
                 }
             }
             got = socket.recv(&mut buffer) => {
-                let answer = got.map_err(|e| e.to_string()).and_then(|n| read(&buffer[..n], &asked));
-                match answer {
+                let length = match got {
+                    Ok(length) => length,
+                    Err(e) => {
+                        log::debug!("name service: {e}");
+                        continue;
+                    }
+                };
+                match read(&buffer[..length], &asked) {
                     Ok((serial, servers)) => {
                         if events.send(Event::List { serial, servers }).await.is_err() {
                             return Ok(false);
                         }
                     }
-                    Err(e) => log::debug!("name service: {e}"),
+                    Err(e) => bad_input.write(BadInput::ListUnreadable, format_args!("{e}")),
                 }
             }
         }
@@ -124,7 +137,7 @@
         }
     }
     let wanted = |r: &&Record| r.name.eq_ignore_root(&pool) && r.dns_class == DNSClass::IN;
-    let mut servers = Vec::new();
+    let mut servers: Vec<Listing> = Vec::new();
     for record in message.answers.iter().filter(wanted) {
         let RData::SRV(srv) = &record.data else { continue };
         let target = srv.target.to_lowercase();
@@ -137,14 +150,19 @@
         let place =
             field("cell").and_then(|v| v.parse().ok()).ok_or_else(|| format!("no cell of {target}"))?;
         let started_at: Option<f64> = field("started").and_then(|v| v.parse().ok());
-        servers.push(Listing {
+        let listing = Listing {
             name: String::from_utf8_lossy(label).into_owned(),
             zone: target.iter().nth(1).map(|zone| String::from_utf8_lossy(zone).into_owned()),
             addr: SocketAddr::from((*address, srv.port)),
             place,
             state: if srv.priority == 0 { Listed::Ready } else { Listed::Draining },
             started_at: started_at.filter(|&ms| ms > 0.0),
-        });
+        };
+        match servers.iter().find(|known| known.name == listing.name) {
+            None => servers.push(listing),
+            Some(known) if *known == listing => {}
+            Some(_) => return Err(format!("{target} is listed twice, each time otherwise")),
+        }
     }
     Ok((serial, servers))
 }
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -3,8 +3,10 @@
 use super::write_batch::given_up_unwritten;
 use super::{HalfMessages, WRITE_STALL};
 use crate::codec::common::{MESSAGE_MAX, NORMAL, RESET, ending, load};
+use crate::codec::unreadable::{Unreadable, at_end};
 use crate::engine::{Event, FromServer, Lost, ServerConn, ToServer};
 use crate::interface::CallId;
+use crate::rate_limited_log::{BadInput, RateLimitedLog};
 use bytes::{BufMut, BytesMut};
 use futures_util::{SinkExt, StreamExt};
 use serde::{Deserialize, Serialize};
@@ -48,18 +50,28 @@
         }
         Ok(None)
     }
+
+    fn decode_eof(&mut self, bytes: &mut BytesMut) -> io::Result<Option<FromServer>> {
+        at_end(self.decode(bytes)?, bytes)
+    }
 }
 
 fn lines_error(error: LinesCodecError) -> io::Error {
     match error {
         LinesCodecError::Io(e) => e,
-        other => io::Error::new(io::ErrorKind::InvalidData, other),
+        LinesCodecError::MaxLineLengthExceeded => {
+            Unreadable::Oversized(format!("a line of over {MESSAGE_MAX} bytes")).into()
+        }
     }
 }
 
+fn json_error(error: serde_json::Error) -> io::Error {
+    Unreadable::Malformed(error.to_string()).into()
+}
+
 /// Reads a line; what is no JSON object is an error, one of unknown type or without its call is passed over.
 fn read(line: &str) -> io::Result<Option<FromServer>> {
-    let object: Map<String, Value> = serde_json::from_str(line)?;
+    let object: Map<String, Value> = serde_json::from_str(line).map_err(json_error)?;
     let text = |name: &str| object.get(name).and_then(Value::as_str);
     let any = |name: &str| object.get("f").and_then(|f| f.get(name));
     let field = |name: &str| any(name).and_then(Value::as_str);
@@ -160,23 +172,31 @@
     _closes: DropGuard,
 }
 
-/// Both ends of a connection's queue, and what tells its task that the engine let go of its end.
-pub fn queue(length: usize) -> (Handle, mpsc::Receiver<Order>, CancellationToken) {
+/// The task's end of a connection's queue.
+#[derive(Debug)]
+pub struct Orders {
+    queue: mpsc::Receiver<Order>,
+    /// The engine let go of its end.
+    closed: CancellationToken,
+}
+
+/// Both ends of a connection's queue.
+pub fn queue(length: usize) -> (Handle, Orders) {
     let (orders, queue) = mpsc::channel(length);
     let closed = CancellationToken::new();
-    (Handle { orders, _closes: closed.clone().drop_guard() }, queue, closed)
+    (Handle { orders, _closes: closed.clone().drop_guard() }, Orders { queue, closed })
 }
 
 /// Opens a connection and serves it until either side ends it. The task owns the stream; the engine closes it
-/// by letting go of the queue's other end, which `closed` tells also while a write stands still.
+/// by letting go of the queue's other end.
 pub async fn serve<C: ServerFront>(
     codec: C,
     addr: SocketAddr,
     dial_timeout: Duration,
     conn: ServerConn,
-    mut queue: mpsc::Receiver<Order>,
-    closed: CancellationToken,
+    mut orders: Orders,
     events: mpsc::Sender<Event>,
+    bad_input: RateLimitedLog,
 ) {
     let how = match timeout(dial_timeout, TcpStream::connect(addr)).await {
         Ok(Ok(stream)) => {
@@ -186,7 +206,7 @@
             if events.send(Event::ServerOpened(conn)).await.is_err() {
                 return;
             }
-            exchange(Framed::new(stream, codec), conn, &mut queue, &closed, &events).await
+            exchange(Framed::new(stream, codec), conn, &mut orders, &events, &bad_input).await
         }
         Ok(Err(e)) if e.kind() == io::ErrorKind::ConnectionRefused => Lost::Refused,
         Ok(Err(e)) => {
@@ -201,9 +221,9 @@
 async fn exchange<C: ServerFront>(
     mut framed: Framed<TcpStream, C>,
     conn: ServerConn,
-    queue: &mut mpsc::Receiver<Order>,
-    closed: &CancellationToken,
+    Orders { queue, closed }: &mut Orders,
     events: &mpsc::Sender<Event>,
+    bad_input: &RateLimitedLog,
 ) -> Lost {
     let mut halves = HalfMessages::new(HALF_MAX);
     loop {
@@ -242,7 +262,13 @@
             Ok(()) => {}
             Err(e) if e.kind() == io::ErrorKind::ConnectionReset => return Lost::Reset,
             Err(e) => {
-                log::info!("connection {} to a call server: {e}", conn.0);
+                match Unreadable::in_error(&e) {
+                    Some(cause) => bad_input.write(
+                        BadInput::of_server(cause),
+                        format_args!("connection {} to a call server: {e}", conn.0),
+                    ),
+                    None => log::info!("connection {} to a call server: {e}", conn.0),
+                }
                 return Lost::Closed;
             }
         }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -604,10 +604,9 @@
         }
     }
 
-    /// A cold server gets part of what the rule allows within its window, and a silent one only what may
-    /// find the way back: shares of this sender's usual rate to a warm one. That may be under one set-up: it
-    /// is rounded by a lot, drawn anew every few windows, so all senders together keep to it at any size. The
-    /// calls handed to one that just started tell of the load; what a server takes, a warm one tells first.
+    /// A cold server gets part of what the rule allows in its window, a silent one what may find the way back:
+    /// shares of this sender's usual rate to a warm one, rounded by a lot drawn anew every few windows. A new
+    /// sender knows the load, not yet what servers take: while a warm one can tell that, cold ones get none.
     fn has_room(&self, now: f64, id: ServerId, s: &Server) -> bool {
         let warmth = self.warmth(now, s);
         let tells = |s: &Server| s.state == Listed::Ready && self.warmth(now, s) >= 1.0 && !s.silent(now);
@@ -621,14 +620,16 @@
         let span = if self.settings.fall_ms > 0.0 { self.settings.fall_ms } else { HALVING_MS };
         let window = (now / span / LOT_WINDOWS + lot(self.salt, id)).floor();
         let sent = s.sends.iter().filter(|&&at| now - at < span).count();
-        sent as f64 + lot(self.salt ^ window.to_bits(), id) < share * self.usual_rate(now, s) * span
+        let counted_ms = RATE_SPAN_MS * (1.0 - (-(now - self.started) / RATE_SPAN_MS).exp());
+        let rate = self.usual_rate(s, counted_ms.max(RATE_LEAST_MS));
+        sent as f64 + lot(self.salt ^ window.to_bits(), id) < share * rate * span
     }
 
     /// The share refused for want of lines: what is told free goes round the senders in the time to the next
     /// telling, and as many more are freed as usually stand; this sender wants its part of the calls handed
     /// to it. All would else take the same few lines, and then none until the next telling.
-    fn short_of_lines(&self, now: f64, s: &Server) -> f64 {
-        let freed = s.free_lines / self.siblings() / LINES_TOLD_MS + self.usual_rate(now, s);
+    fn short_of_lines(&self, s: &Server) -> f64 {
+        let freed = s.free_lines / self.siblings() / LINES_TOLD_MS + self.usual_rate(s, RATE_LEAST_MS);
         let wanted = self.handed.per_ms(RATE_LEAST_MS) * s.size / self.ready_size.max(1.0);
         if wanted > 0.0 { (1.0 - LINES_PART * freed / wanted).max(0.0) } else { 0.0 }
     }
@@ -636,11 +637,10 @@
     /// This sender's calls a millisecond that come to stand at this server when warm: its part, by size,
     /// of those that stood at warm servers of late; what was sent in a jam would tell of the jam. Before any
     /// stood, its part of the calls this sender was handed.
-    fn usual_rate(&self, now: f64, s: &Server) -> f64 {
-        let counted_ms = RATE_SPAN_MS * (1.0 - (-(now - self.started) / RATE_SPAN_MS).exp());
-        let stood = self.stood.per_ms(counted_ms.max(RATE_LEAST_MS));
-        let handed = self.handed.per_ms(RATE_LEAST_MS) / self.ready_size.max(1.0);
-        s.size * if stood > 0.0 { stood } else { handed }
+    fn usual_rate(&self, s: &Server, least_ms: f64) -> f64 {
+        let stood = self.stood.per_ms(least_ms);
+        let handed = || self.handed.per_ms(RATE_LEAST_MS) / self.ready_size.max(1.0);
+        s.size * if stood > 0.0 { stood } else { handed() }
     }
 
     /// A call came to stand: where at a warm server, the usual rate moves.
@@ -682,7 +682,7 @@
     fn refused_share(&self, now: f64, s: &Server, (signs, told): (f64, f64), backlog: f64) -> f64 {
         // Of a large fleet each sender hears of a server but every few seconds: the others stand in for it.
         let elsewhere = (1.0 - s.freshness(now)) * told / signs.max(SIGNS_LEAST);
-        let least = elsewhere.max(1.0 - self.warmth(now, s)).max(self.short_of_lines(now, s));
+        let least = elsewhere.max(1.0 - self.warmth(now, s)).max(self.short_of_lines(s));
         s.refuses(now, backlog, self.useful_wait_ms()).max(least)
     }
 
--- a/tests/server_connection.rs
+++ b/tests/server_connection.rs
@@ -3,11 +3,12 @@
 use corkreach::CallId;
 use corkreach::engine::{Event, Lost, ServerConn, ToServer};
 use corkreach::net::servers::{self, Codec, Handle, Order};
+use corkreach::rate_limited_log::RateLimitedLog;
 use std::time::Duration;
 use tokio::io::{AsyncBufReadExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
-use tokio::task::JoinHandle;
+use tokio::task::{JoinHandle, LocalSet, spawn_local};
 
 const QUEUE: usize = 64;
 const CONN: ServerConn = ServerConn(1);
@@ -47,11 +48,11 @@
 async fn connection() -> (Handle, TcpStream, mpsc::Receiver<Event>, JoinHandle<()>) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let addr = listener.local_addr().unwrap();
-    let (handle, queue, closed) = servers::queue(QUEUE);
+    let (handle, orders) = servers::queue(QUEUE);
     let (events, mut heard) = mpsc::channel(QUEUE);
-    let dial_timeout = Duration::from_secs(5);
-    let task =
-        tokio::spawn(servers::serve(Codec::default(), addr, dial_timeout, CONN, queue, closed, events));
+    let (dial_timeout, bad_input) = (Duration::from_secs(5), RateLimitedLog::default());
+    let serving = servers::serve(Codec::default(), addr, dial_timeout, CONN, orders, events, bad_input);
+    let task = spawn_local(serving);
     let (stream, _) = listener.accept().await.unwrap();
     assert_eq!(heard.recv().await, Some(Event::ServerOpened(CONN)));
     (handle, stream, heard, task)
@@ -61,6 +62,10 @@
 /// sent, while its end is confirmed and what came behind it goes out.
 #[tokio::test]
 async fn a_set_up_given_up_while_its_connection_stood_still_is_not_sent() {
+    LocalSet::new().run_until(give_up_while_the_connection_stands_still()).await;
+}
+
+async fn give_up_while_the_connection_stands_still() {
     let (handle, stream, mut heard, task) = connection().await;
     fill(&handle.orders).await;
     handle.orders.try_send(set_up(GIVEN_UP, "d")).unwrap();
@@ -85,6 +90,10 @@
 /// elsewhere after the guard, so it is closed well before the write is given up.
 #[tokio::test]
 async fn a_connection_is_closed_though_a_write_on_it_stands_still() {
+    LocalSet::new().run_until(close_while_a_write_stands_still()).await;
+}
+
+async fn close_while_a_write_stands_still() {
     let (handle, _unread, mut heard, _task) = connection().await;
     fill(&handle.orders).await;
     drop(handle);
