--- a/src/policy.rs
+++ b/src/policy.rs
@@ -604,7 +604,7 @@
         }
     }
 
-    /// A cold server gets part of what the rule allows in its window, a silent one what may find the way back:
+    /// A cold server gets part of what the rule allows in a window, a silent one what may find the way back:
     /// shares of this sender's usual rate to a warm one, rounded by a lot drawn anew every few windows. A new
     /// sender knows the load, not yet what servers take: while a warm one can tell that, cold ones get none.
     fn has_room(&self, now: f64, id: ServerId, s: &Server) -> bool {
