Play one lab scenario at a time in tests, and force a kill behind an accept

Cause: the tests play up to six scenarios beside each other, each of up to twenty processes with their callers, and starve each other. They are played one after the other now; no bound and no check is changed.

A listener whose queue is full stood twice in the rig and the crossings: it is one function. New crossing: a call server killed behind its accept, which held before.

The lab with one scenario at a time was not run yet on this commit.

--- a/tests/lab/scenarios.rs
+++ b/tests/lab/scenarios.rs
@@ -4,6 +4,11 @@
 use corkreach::lab::results::{Summary, summarize, table};
 use corkreach::lab::{Figures, Run, Scenario, play};
 use std::path::{Path, PathBuf};
+use std::sync::{Mutex, PoisonError};
+
+/// Held while a scenario is played. Each starts up to twenty processes with their callers: two at a time would take each
+/// other's cores, and what is compared between two runs of one scenario would be another fleet in each.
+static PLAYING: Mutex<()> = Mutex::new(());
 
 /// A folder that goes with the test.
 struct Folder(PathBuf);
@@ -16,6 +21,8 @@
 
 /// Plays a scenario with the program under test; no set-up may be lost or answered twice in any run.
 pub fn played(name: &str, scenario: &Scenario) -> Figures {
+    // A scenario that failed leaves nothing behind that concerns the next.
+    let _playing = PLAYING.lock().unwrap_or_else(PoisonError::into_inner);
     let folder = Folder(std::env::temp_dir().join(format!("corkreach-{name}-{}", std::process::id())));
     let figures = play(scenario, Path::new(env!("CARGO_BIN_EXE_corkreach")), &folder.0).unwrap();
     let summary = summarize(&figures);
--- a/tests/process/crossings.rs
+++ b/tests/process/crossings.rs
@@ -4,9 +4,8 @@
 use crate::rig::*;
 use crate::two;
 use serde_json::json;
-use socket2::{Domain, SockAddr, Socket, Type};
 use std::io::Write;
-use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::net::Shutdown;
 use std::time::Duration;
 
 /// Set-ups are taken for 0.7 s after SIGTERM; this is past it.
@@ -121,18 +120,6 @@
     lb.expect("new", 8);
 }
 
-/// A listening socket whose queue is full, so that connections to it do not come up, and what fills it.
-fn full_listener() -> (std::net::TcpListener, Vec<TcpStream>) {
-    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
-    socket.bind(&SockAddr::from(SocketAddr::from(([127, 0, 0, 1], 0)))).unwrap();
-    socket.listen(0).unwrap();
-    let listener: std::net::TcpListener = socket.into();
-    let addr = listener.local_addr().unwrap();
-    let fill = std::iter::from_fn(|| TcpStream::connect_timeout(&addr, Duration::from_millis(300)).ok());
-    let fill = fill.take(8).collect();
-    (listener, fill)
-}
-
 /// A caller leaves while its set-up waits for a connection: once the connection comes up it carries the next call's
 /// set-up and never that one, which is not tried elsewhere either.
 #[test]
@@ -225,3 +212,20 @@
     writes.stream.write_all(last).unwrap();
     assert_eq!(writes.hear().map(|(kind, call, _)| (kind, call)), Some((12, 7)));
 }
+
+/// A call server accepts a connection and is killed with a set-up unread on it: its only trace is a reset. The set-up goes
+/// to the other call server and stands there.
+#[test]
+fn a_set_up_unread_at_a_call_server_killed_behind_its_accept_goes_elsewhere() {
+    let (a, _b, _program, _names, la, mut lb, mut caller) = two();
+    drop(la);
+    let mut accepted = a.accept_mute();
+    caller.set_up(7, 0, 9000);
+    accepted.peek();
+    drop(a.listener);
+    drop(accepted);
+    lb.expect("new", 7);
+    lb.up(7);
+    caller.expect(9, 7, None);
+    assert!(caller.test(), "nothing but the test's answer comes");
+}
--- a/tests/process/rig.rs
+++ b/tests/process/rig.rs
@@ -199,25 +199,32 @@
     }
 }
 
-/// A call server whose address answers no connection: what may wait there to be accepted waits already.
+/// A listening socket whose queue is full, so that no connection to it comes up, and the connections that fill it.
+pub fn full_listener() -> (TcpListener, Vec<TcpStream>) {
+    /// Within this a connection on this machine is made, or it never is.
+    const CONNECTED_WITHIN: Duration = Duration::from_secs(1);
+    let listener = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
+    listener.bind(&any.into()).unwrap();
+    listener.listen(0).unwrap();
+    let listener: TcpListener = listener.into();
+    let addr = listener.local_addr().unwrap();
+    let connect = || TcpStream::connect_timeout(&addr, CONNECTED_WITHIN);
+    let waiting = std::iter::from_fn(|| connect().ok()).collect();
+    (listener, waiting)
+}
+
+/// A call server whose address answers no connection.
 pub struct Unreachable {
     pub listed: Listed,
-    _listener: socket2::Socket,
+    _listener: TcpListener,
     _waiting: Vec<TcpStream>,
 }
 
 impl Unreachable {
-    /// Within this a connection on this machine is made, or it never is.
-    const CONNECTED_WITHIN: Duration = Duration::from_secs(1);
-
     pub fn start(id: &'static str, place: u32) -> Unreachable {
-        let listener = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
-        let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
-        listener.bind(&any.into()).unwrap();
-        listener.listen(0).unwrap();
-        let addr = listener.local_addr().unwrap().as_socket().unwrap();
-        let connect = || TcpStream::connect_timeout(&addr, Unreachable::CONNECTED_WITHIN);
-        let waiting = std::iter::from_fn(|| connect().ok()).collect();
+        let (listener, waiting) = full_listener();
+        let addr = listener.local_addr().unwrap();
         let listed = Listed { id, addr, place, draining: false, started_ms: 0 };
         Unreachable { listed, _listener: listener, _waiting: waiting }
     }
