Log why connections to call servers open and end, and reproduce the incident in two tests

Every one is logged now with its number, its server and how many are left; one closed from here with a typed reason; an attempt's end, at debug level, with its call.

--- a/src/engine/calls.rs
+++ b/src/engine/calls.rs
@@ -513,6 +513,8 @@
             call.guard_until = self.now + self.guard_ms;
         }
         let closed = call.answered;
+        let name = self.fleet.name(attempt.server);
+        log::debug!("call {:016x}: attempt {} at {name} ended, {outcome:?}", id.0, attempt.number);
         self.tell_ended(id, attempt.server, outcome, closed, report);
         self.tidy(id);
     }
--- a/src/engine/fleet.rs
+++ b/src/engine/fleet.rs
@@ -3,6 +3,7 @@
 use super::{Due, Effect, Engine, FromServer, Listing, Lost, ServerConn, ToServer};
 use crate::interface::{self as module, CallId, Listed, Outcome, ServerEntry, ServerId};
 use std::collections::{BTreeMap, HashMap};
+use std::fmt;
 
 /// Connections to one call server at most; the protocol's figure.
 pub(super) const CONNS_MAX: usize = 4;
@@ -11,6 +12,45 @@
 /// Releases kept for a call server that has no connection open.
 const OWED_MAX: usize = 4096;
 
+/// Why a connection to a call server is closed from here.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum CloseReason {
+    /// Others heard the server's state, this one did not.
+    MissedState,
+    /// Set-ups sent later on other connections were answered sooner.
+    Overtaken,
+    /// What concerned a call of this connection came on another.
+    PassedOver,
+    /// Quiet for longest where there are many.
+    Quiet,
+    /// Another one is to show whether the server lives, and there is room for no more.
+    MakesRoom,
+    /// The server is silent and takes no new connection.
+    Unreachable,
+    /// The server has been silent for so long that its calls count as cut.
+    Vanished,
+    /// The list gives the server another address.
+    AddressChanged,
+    /// The list no longer names the server.
+    Delisted,
+}
+
+impl fmt::Display for CloseReason {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        f.write_str(match self {
+            CloseReason::MissedState => "it missed a state that others heard",
+            CloseReason::Overtaken => "it carries nothing more: others overtake it",
+            CloseReason::PassedOver => "its calls are told of on others",
+            CloseReason::Quiet => "it has been quiet for longest",
+            CloseReason::MakesRoom => "another one is to show whether the server lives",
+            CloseReason::Unreachable => "the server is silent and takes no new connection",
+            CloseReason::Vanished => "the server has vanished",
+            CloseReason::AddressChanged => "the server has another address",
+            CloseReason::Delisted => "the server is no longer listed",
+        })
+    }
+}
+
 pub(super) struct Conn {
     pub(super) id: ServerConn,
     pub(super) open: bool,
@@ -201,7 +241,7 @@
             }
         }
         if addr != old.addr {
-            self.close_all(id, out);
+            self.close_all(id, CloseReason::AddressChanged, out);
             self.dial(id, out);
         }
         if state != Listed::Ready {
@@ -213,7 +253,7 @@
     /// The one place where a call server is given back.
     fn server_gone(&mut self, id: ServerId, out: &mut Vec<Effect>) {
         self.cut(id, f64::INFINITY, out);
-        self.close_all(id, out);
+        self.close_all(id, CloseReason::Delisted, out);
         self.end_waiting(id, Outcome::NotSent);
         self.fleet.servers.remove(&id);
         self.forget_words(id);
@@ -257,6 +297,7 @@
             turn: 0,
             turned_away: false,
         };
+        log::debug!("connection {} to {}: dialled", conn.0, s.listing.name);
         s.dialled_at = now;
         s.conns.push(new);
         self.fleet.by_conn.insert(conn, server);
@@ -282,6 +323,8 @@
         if let Some(c) = s.conns.iter_mut().find(|c| c.id == conn) {
             (c.open, c.opened_at, c.heard_at) = (true, self.now, self.now);
         }
+        let open = s.conns.iter().filter(|c| c.open).count();
+        log::info!("connection {} to {}: open, one of {open}", conn.0, s.listing.name);
         for call in std::mem::take(&mut s.owed) {
             out.push(Effect::ToServer { conn, message: ToServer::Release(call), confirm: false });
         }
@@ -291,10 +334,19 @@
     pub(super) fn server_lost(&mut self, conn: ServerConn, how: Lost, out: &mut Vec<Effect>) {
         self.fleet.closing.remove(&conn);
         let one_too_many = self.one_too_many(conn);
+        let was_open = self.fleet.is_open(conn);
         let Some((server, lived_ms)) = self.drop_conn(conn) else { return };
         let Some(s) = self.fleet.servers.get_mut(&server) else { return };
         let alone = s.conns.is_empty();
-        log::debug!("connection to {}: {how:?}", s.listing.name);
+        // A server that is down is dialled several times a second: only the first failure is worth a line.
+        let level = if was_open || s.failed == 0 { log::Level::Info } else { log::Level::Debug };
+        log::log!(
+            level,
+            "connection {} to {}: lost ({how:?}), {} left",
+            conn.0,
+            s.listing.name,
+            s.conns.len()
+        );
         match how {
             // Nothing listens: the process is dead, and what stood there was cut with it. With a connection open
             // it only takes no more of them.
@@ -339,17 +391,19 @@
         Some((server, lived_ms))
     }
 
-    pub(super) fn close(&mut self, conn: ServerConn, out: &mut Vec<Effect>) {
+    /// Closes a connection to a call server from here; what the server has said by then is still heard.
+    pub(super) fn close(&mut self, conn: ServerConn, reason: CloseReason, out: &mut Vec<Effect>) {
         if let Some((server, _)) = self.drop_conn(conn) {
+            log::info!("connection {} to {}: closed, {reason}", conn.0, self.fleet.name(server));
             self.fleet.closing.insert(conn, server);
             out.push(Effect::CloseServer(conn));
         }
     }
 
-    pub(super) fn close_all(&mut self, server: ServerId, out: &mut Vec<Effect>) {
+    pub(super) fn close_all(&mut self, server: ServerId, reason: CloseReason, out: &mut Vec<Effect>) {
         let Some(s) = self.fleet.servers.get(&server) else { return };
         for conn in s.conns.iter().map(|c| c.id).collect::<Vec<_>>() {
-            self.close(conn, out);
+            self.close(conn, reason, out);
         }
     }
 
--- a/src/engine/liveness.rs
+++ b/src/engine/liveness.rs
@@ -1,6 +1,6 @@
 //! Which connections to call servers still carry anything, and which call servers live.
 
-use super::fleet::{CONNS_MAX, Conn};
+use super::fleet::{CONNS_MAX, CloseReason, Conn};
 use super::{Effect, Engine, ServerConn};
 use crate::interface::{Listed, ServerId};
 
@@ -55,8 +55,7 @@
         let told = std::mem::replace(&mut c.told_at, self.now) - TOLD_TOGETHER_MS;
         let mute = |c: &&Conn| c.open && c.id != conn && c.opened_at < told && c.heard_at < told;
         for mute in s.conns.iter().filter(mute).map(|c| c.id).collect::<Vec<_>>() {
-            log::info!("connection {} to {} has fallen mute", mute.0, self.fleet.name(server));
-            self.close(mute, out);
+            self.close(mute, CloseReason::MissedState, out);
             self.dial(server, out);
         }
     }
@@ -73,8 +72,7 @@
         });
         let another = s.dialling() || s.conns.iter().any(|c| c.open && self.now - c.heard_at < DOUBT_MS);
         if let Some(conn) = stuck.map(|(c, _)| c.id) {
-            log::info!("connection {} to {} carries nothing more", conn.0, s.listing.name);
-            self.close(conn, out);
+            self.close(conn, CloseReason::Overtaken, out);
             self.dial(server, out);
         } else if !waits.is_empty() && !another && !self.crowded(server) && s.conns.len() < CONNS_MAX - 1 {
             self.dial(server, out);
@@ -97,7 +95,7 @@
             let stale =
                 oldest.filter(|c| s.conns.len() >= CONNS_MAX - 1 && self.now - c.heard_at >= UNHEARD_MS);
             if let Some(conn) = stale.map(|c| c.id).filter(|&conn| !self.calls.any_on(conn)) {
-                self.close(conn, out);
+                self.close(conn, CloseReason::Quiet, out);
             }
         } else if !self.calls.any_at(server) {
             // Nothing of ours is there: its silence says nothing, and may be just quiet.
@@ -106,11 +104,11 @@
             if open || self.calls.any_standing_at(server) {
                 log::warn!("{} has vanished: silent for {silent_ms:.0} ms", s.listing.name);
                 self.cut(server, f64::INFINITY, out);
-                self.close_all(server, out);
+                self.close_all(server, CloseReason::Vanished, out);
                 self.redial(server, out);
             }
         } else if silent_ms >= UNHEARD_MS && unreachable && open && s.listing.state == Listed::Ready {
-            self.close_all(server, out);
+            self.close_all(server, CloseReason::Unreachable, out);
             self.redial(server, out);
         } else if !s.dialling() {
             self.dial(server, out);
@@ -194,8 +192,7 @@
         };
         if self.now - own.heard_at >= TOLD_TOGETHER_MS && self.now - other.opened_at >= SETTLED_MS {
             let own = own.id;
-            log::info!("connection {} to {} is passed over", own.0, s.listing.name);
-            self.close(own, out);
+            self.close(own, CloseReason::PassedOver, out);
             self.dial(server, out);
         }
     }
--- a/src/engine/recovery.rs
+++ b/src/engine/recovery.rs
@@ -1,6 +1,7 @@
 //! Hosts the plan for the loss of a site (`crate::recovery`): says what is seen of each call server, asks about each new
 //! call, and tells the module of the call servers that are candidates.
 
+use super::fleet::CloseReason;
 use super::{Due, Effect, Engine, Listing};
 use crate::interface::{self as module, Listed, LoadReport, ServerEntry, ServerId};
 use crate::recovery::{Entry, Recovery, Verdict};
@@ -88,7 +89,7 @@
             let idle = s.conns.iter().filter(|c| c.open && !self.calls.any_on(c.id));
             let oldest = idle.min_by(|a, b| a.heard.cmp(&b.heard).then(a.heard_at.total_cmp(&b.heard_at)));
             let Some(oldest) = oldest.map(|c| c.id) else { return };
-            self.close(oldest, out);
+            self.close(oldest, CloseReason::MakesRoom, out);
         }
         self.dial(id, out);
     }
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -8,6 +8,7 @@
 mod speech;
 mod start_signals;
 mod text;
+mod vanished;
 
 use rig::*;
 use serde_json::json;
--- a/tests/process/rig.rs
+++ b/tests/process/rig.rs
@@ -342,7 +342,7 @@
     }
 
     /// Tells the state and answers every set-up until the connection is closed.
-    fn answer_all(mut self) {
+    pub fn answer_all(mut self) {
         self.gauge();
         while let Some(line) = self.hear() {
             if line["t"] == "new" {
--- /dev/null
+++ b/tests/process/vanished.rs
@@ -0,0 +1,59 @@
+//! Call servers whose machine vanishes: connections stay open and silent, and what stood there is over.
+
+use crate::rig::*;
+use crate::{stand, two};
+use std::time::{Duration, Instant};
+
+/// A call server has at most so many connections from one border controller.
+const CONNECTIONS_MAX: usize = 4;
+/// A call whose end no server could tell is released towards its caller within this of that end.
+const RELEASED_WITHIN: Duration = Duration::from_millis(8050);
+
+/// Lets a server be quiet, as looks at it open further connections, until there is room for no more; all of them have
+/// heard its state just now.
+fn fill_connections(server: &Server, first: Link) -> Vec<Link> {
+    let mut links = vec![first];
+    while links.len() < CONNECTIONS_MAX {
+        links.push(server.accept());
+        links.iter_mut().for_each(Link::gauge);
+    }
+    links
+}
+
+/// Guards against calls at a vanished server that are never released: with as many connections open as there may be,
+/// no further one was dialled, so that none failed and the silence was never taken for an outage.
+#[test]
+fn a_vanished_server_with_all_its_connections_open_has_its_calls_released_in_time() {
+    let (a, _b, _program, _names, la, mut lb, mut caller) = two();
+    let mut la = la;
+    stand(&mut caller, &mut la, 7);
+    let _silent = fill_connections(&a, la);
+    let vanished = Instant::now();
+    caller.expect(12, 7, Some(41));
+    assert!(vanished.elapsed() <= RELEASED_WITHIN, "{:?}", vanished.elapsed());
+    caller.set_up(8, 1, 9000);
+    lb.expect("new", 8);
+}
+
+/// Guards against a returned server being given connections that nobody needs: each dial that was refused during the
+/// outage left a redial of its own behind, and all of them were made once it was back.
+#[test]
+fn a_server_that_returns_is_dialled_once_for_all_the_dials_that_failed() {
+    let (a, _b, _program, _names, la, lb, mut caller) = two();
+    std::thread::spawn(move || lb.answer_all());
+    let addr = a.listed.addr;
+    drop((a.listener, la));
+    for call in 100..160 {
+        caller.set_up(call, 0, 9000);
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    let back =
+        Server { listener: std::net::TcpListener::bind(addr).unwrap(), listed: a.listed, text: a.text };
+    let mut links = vec![back.accept()];
+    let since = Instant::now();
+    while since.elapsed() < Duration::from_secs(1) {
+        links.extend(back.try_accept_mute());
+        std::thread::sleep(Duration::from_millis(2));
+    }
+    assert_eq!(links.len(), 1, "no set-up has gone there since");
+}
