Make room for the connection that shows whether a silent call server lives

Cause: a server counts as vanished once it is silent and a new connection to it failed. The look that dials that connection went through dial(), which does nothing where four are open already. So nothing ever failed, the calls stood until the list dropped the server, 12 s later in the incident. liveness.rs, look_at: '!s.dialling() -> self.dial'.

Closing a connection loses nothing that the server lives to tell: a release told there comes again on the next one, which is dialled at once. The probe of a site that is down made room in the same way, but gave up where set-ups were out on all connections; both share dial_to_look now. A look also no longer counts a failure of before the silence was noticed, as this program may have stood still itself.

--- a/src/engine/fleet.rs
+++ b/src/engine/fleet.rs
@@ -91,6 +91,8 @@
     pub(super) crowded_ms: f64,
     /// The first set-up that went there since it last said anything.
     pub(super) waits_since: Option<f64>,
+    /// A look first found it silent, with work of ours, then.
+    pub(super) suspected_at: Option<f64>,
     pub(super) dialled_at: f64,
     /// Releases that wait for a connection.
     pub(super) owed: Vec<CallId>,
@@ -166,6 +168,13 @@
     pub(super) fn dialling(&self) -> bool {
         self.conns.iter().any(|c| !c.open)
     }
+
+    /// A connection that may show whether it lives is on its way or, where there is room for no more, has said nothing
+    /// yet.
+    pub(super) fn is_looked_at(&self) -> bool {
+        let full = self.conns.len() >= CONNS_MAX;
+        self.conns.iter().any(|c| !c.open || (full && !c.heard))
+    }
 }
 
 impl Engine {
@@ -221,6 +230,7 @@
                 crowded_until: f64::NEG_INFINITY,
                 crowded_ms: 0.0,
                 waits_since: None,
+                suspected_at: None,
                 dialled_at: now,
                 owed: Vec::new(),
             };
@@ -417,7 +427,7 @@
         log::trace!("{} on connection {}: {message:?}", self.fleet.name(server), conn.0);
         if let Some(s) = self.fleet.servers.get_mut(&server) {
             (s.heard_at, s.tried, s.failed, s.cut_short) = (now, true, 0, false);
-            s.waits_since = None;
+            (s.waits_since, s.suspected_at) = (None, None);
             for c in s.conns.iter_mut().filter(|c| c.id == conn) {
                 (c.heard_first, c.heard, c.heard_at) = (!c.heard, true, now);
             }
--- a/src/engine/liveness.rs
+++ b/src/engine/liveness.rs
@@ -1,6 +1,6 @@
 //! Which connections to call servers still carry anything, and which call servers live.
 
-use super::fleet::{CONNS_MAX, CloseReason, Conn};
+use super::fleet::{CONNS_MAX, CloseReason, Conn, Server};
 use super::{Effect, Engine, ServerConn};
 use crate::interface::{Listed, ServerId};
 
@@ -82,24 +82,13 @@
     /// A machine that vanished says nothing and keeps its connections open: it shows only in that no new one
     /// comes up. One that lives tells its state first of all on a new one.
     fn look_at(&mut self, server: ServerId, out: &mut Vec<Effect>) {
+        let Some(silent_ms) = self.suspicious_silence(server) else {
+            return self.close_quiet(server, out);
+        };
         let Some(s) = self.fleet.servers.get(&server) else { return };
-        let silent_ms = self.now - s.heard_at;
-        // The system may take a connection that nobody behind it answers.
-        let mute = |c: &Conn| c.open && !c.heard && self.now - c.heard_at >= MUTE_MS;
-        let unreachable = s.failed > 0 || s.conns.iter().any(mute);
+        let unreachable = self.is_unreachable(s);
         let open = s.conns.iter().any(|c| c.open);
-        if silent_ms < SILENT_MS {
-            // Alive: the connection heard longest ago makes room for the next look. Not sooner: one that is
-            // just quiet may still carry a release.
-            let oldest = s.conns.iter().filter(|c| c.open).min_by(|a, b| a.heard_at.total_cmp(&b.heard_at));
-            let stale =
-                oldest.filter(|c| s.conns.len() >= CONNS_MAX - 1 && self.now - c.heard_at >= UNHEARD_MS);
-            if let Some(conn) = stale.map(|c| c.id).filter(|&conn| !self.calls.any_on(conn)) {
-                self.close(conn, CloseReason::Quiet, out);
-            }
-        } else if !self.calls.any_at(server) {
-            // Nothing of ours is there: its silence says nothing, and may be just quiet.
-        } else if silent_ms >= CUT_MS && unreachable {
+        if silent_ms >= CUT_MS && unreachable {
             // Once given up, it is only dialled again and again: no more than that is to be closed.
             if open || self.calls.any_standing_at(server) {
                 log::warn!("{} has vanished: silent for {silent_ms:.0} ms", s.listing.name);
@@ -110,9 +99,69 @@
         } else if silent_ms >= UNHEARD_MS && unreachable && open && s.listing.state == Listed::Ready {
             self.close_all(server, CloseReason::Unreachable, out);
             self.redial(server, out);
-        } else if !s.dialling() {
-            self.dial(server, out);
+        } else if !s.is_looked_at() {
+            self.dial_to_look(server, CONNS_MAX, out);
+        }
+    }
+
+    /// For how long a call server has been silent, ms, if that makes it suspect: it has work of ours then.
+    fn suspicious_silence(&mut self, server: ServerId) -> Option<f64> {
+        let has_work = self.calls.any_at(server);
+        let now = self.now;
+        let s = self.fleet.servers.get_mut(&server)?;
+        let silent_ms = now - s.heard_at;
+        if silent_ms < SILENT_MS || !has_work {
+            s.suspected_at = None;
+            return None;
+        }
+        if s.suspected_at.is_none() {
+            log::info!("{} is suspect: silent for {silent_ms:.0} ms", s.listing.name);
+            s.suspected_at = Some(now);
+        }
+        Some(silent_ms)
+    }
+
+    /// Whether looks at a suspect have shown that it takes no connection.
+    fn is_unreachable(&self, s: &Server) -> bool {
+        let suspected_ms = s.suspected_at.map_or(0.0, |at| self.now - at);
+        // The system may take a connection that nobody behind it answers.
+        let mute = |c: &Conn| c.open && !c.heard && self.now - c.heard_at >= MUTE_MS;
+        let failed = s.failed > 0 || s.conns.iter().any(mute);
+        // What this program has not read yet may hold a word: it may have stood still itself.
+        failed && suspected_ms > 0.0
+    }
+
+    /// Of many connections to a call server that lives, the one heard longest ago makes room for the next look. Not
+    /// sooner: one that is just quiet may still carry a release.
+    fn close_quiet(&mut self, server: ServerId, out: &mut Vec<Effect>) {
+        let Some(s) = self.fleet.servers.get(&server) else { return };
+        if self.now - s.heard_at >= SILENT_MS || s.conns.len() < CONNS_MAX - 1 {
+            return;
+        }
+        let oldest = s.conns.iter().filter(|c| c.open).min_by(|a, b| a.heard_at.total_cmp(&b.heard_at));
+        let stale = oldest.filter(|c| self.now - c.heard_at >= UNHEARD_MS);
+        if let Some(conn) = stale.map(|c| c.id).filter(|&conn| !self.calls.any_on(conn)) {
+            self.close(conn, CloseReason::Quiet, out);
+        }
+    }
+
+    /// Dials a call server to see whether it lives. With as many connections as it may have, one makes room: one on
+    /// which no set-up is out, of these one that was never heard, of these the one heard longest ago. What was told there
+    /// comes again on the next.
+    pub(super) fn dial_to_look(&mut self, server: ServerId, connections_max: usize, out: &mut Vec<Effect>) {
+        let Some(s) = self.fleet.servers.get(&server) else { return };
+        if s.conns.len() >= connections_max {
+            let busy = |c: &Conn| self.calls.any_on(c.id);
+            let last_used = |a: &&Conn, b: &&Conn| {
+                let by_use = busy(a).cmp(&busy(b)).then(a.heard.cmp(&b.heard));
+                by_use.then(a.heard_at.total_cmp(&b.heard_at))
+            };
+            let Some(conn) = s.conns.iter().filter(|c| c.open).min_by(last_used).map(|c| c.id) else {
+                return;
+            };
+            self.close(conn, CloseReason::MakesRoom, out);
         }
+        self.dial(server, out);
     }
 
     /// A second connection to a call server in use: set-ups take turns on the two, so that the answers on one soon show
--- a/src/engine/recovery.rs
+++ b/src/engine/recovery.rs
@@ -1,7 +1,7 @@
 //! Hosts the plan for the loss of a site (`crate::recovery`): says what is seen of each call server, asks about each new
 //! call, and tells the module of the call servers that are candidates.
 
-use super::fleet::CloseReason;
+use super::fleet::CONNS_MAX;
 use super::{Due, Effect, Engine, Listing};
 use crate::interface::{self as module, Listed, LoadReport, ServerEntry, ServerId};
 use crate::recovery::{Entry, Recovery, Verdict};
@@ -74,26 +74,12 @@
             );
         }
         for id in probes {
-            self.probe(id, out);
+            self.dial_to_look(id, CONNS_MAX - PROBE_LEAVES, out);
         }
         self.tell_candidates();
         self.turn_sites();
     }
 
-    /// Opens a connection to one that is down by silence: the first word there shows that it is back. One that was
-    /// opened for that and heard nothing makes room, else the one heard longest ago on which no set-up is out: what was
-    /// told there comes again on the next.
-    fn probe(&mut self, id: ServerId, out: &mut Vec<Effect>) {
-        let Some(s) = self.fleet.servers.get(&id) else { return };
-        if s.conns.len() >= super::fleet::CONNS_MAX - PROBE_LEAVES {
-            let idle = s.conns.iter().filter(|c| c.open && !self.calls.any_on(c.id));
-            let oldest = idle.min_by(|a, b| a.heard.cmp(&b.heard).then(a.heard_at.total_cmp(&b.heard_at)));
-            let Some(oldest) = oldest.map(|c| c.id) else { return };
-            self.close(oldest, CloseReason::MakesRoom, out);
-        }
-        self.dial(id, out);
-    }
-
     /// The module hears of the call servers that became candidates or ceased to be.
     fn tell_candidates(&mut self) {
         let mut entries = Vec::new();
