Count looks that end without a word as fruitless, however they end

What callers see: calls at a silent server are never released where a proxy or the host takes each new connection and closes it before a word.

Now a suspect that brought no word for 2 s of looks is unreachable.

--- a/src/engine/liveness.rs
+++ b/src/engine/liveness.rs
@@ -14,6 +14,9 @@
 /// say nothing while they still stand. With the look's interval that stays under the 8 s in which callers must
 /// hear of an end that nobody told.
 const CUT_MS: f64 = 7000.0;
+/// Looks at a suspect that brought no word for so long show as much as a connection that did not come up, ms. However
+/// they went, its calls are then cut in time.
+const FRUITLESS_MS: f64 = 2000.0;
 /// A call server tells its state at once on a new connection; after this one is as good as not come up, ms.
 const MUTE_MS: f64 = 750.0;
 /// A connection on which a set-up waits and nothing was heard for so long is doubted, ms: another is opened.
@@ -121,14 +124,14 @@
         Some(silent_ms)
     }
 
-    /// Whether looks at a suspect have shown that it takes no connection.
+    /// Whether looks at a suspect have shown that it takes no connection, or none has brought a word for long enough.
     fn is_unreachable(&self, s: &Server) -> bool {
         let suspected_ms = s.suspected_at.map_or(0.0, |at| self.now - at);
         // The system may take a connection that nobody behind it answers.
         let mute = |c: &Conn| c.open && !c.heard && self.now - c.heard_at >= MUTE_MS;
         let failed = s.failed > 0 || s.conns.iter().any(mute);
         // What this program has not read yet may hold a word: it may have stood still itself.
-        failed && suspected_ms > 0.0
+        (failed && suspected_ms > 0.0) || suspected_ms >= FRUITLESS_MS
     }
 
     /// Of many connections to a call server that lives, the one heard longest ago makes room for the next look. Not
--- a/tests/process/vanished.rs
+++ b/tests/process/vanished.rs
@@ -57,3 +57,20 @@
     }
     assert_eq!(links.len(), 1, "no set-up has gone there since");
 }
+
+/// Guards against calls that stand for ever at a server whose address takes connections and closes them unheard, as a
+/// proxy before a machine that is gone does: such a connection was neither failed nor mute.
+#[test]
+fn a_silent_server_whose_new_connections_are_closed_unheard_has_its_calls_released_in_time() {
+    let (a, _b, _program, _names, mut la, _lb, mut caller) = two();
+    stand(&mut caller, &mut la, 7);
+    let vanished = Instant::now();
+    std::thread::spawn(move || {
+        while vanished.elapsed() < 2 * RELEASED_WITHIN {
+            drop(a.try_accept_mute());
+            std::thread::sleep(Duration::from_millis(2));
+        }
+    });
+    caller.expect(12, 7, Some(41));
+    assert!(vanished.elapsed() <= RELEASED_WITHIN, "{:?}", vanished.elapsed());
+}
