Redial a call server once for all the dials that failed

What call servers saw: a server that came back from an outage was given four connections at once by a border controller that had nothing to send there.

Cause: each refused dial set a redial timer of its own, also those made for single calls, and a redial only asks whether one is on its way, not whether one has come up. Now a server has one time of its next redial; a sooner one replaces it, and a connection that opens meanwhile serves in its place.

--- a/src/engine/fleet.rs
+++ b/src/engine/fleet.rs
@@ -94,6 +94,8 @@
     /// A look first found it silent, with work of ours, then.
     pub(super) suspected_at: Option<f64>,
     pub(super) dialled_at: f64,
+    /// It is dialled again then.
+    pub(super) redial_at: Option<f64>,
     /// Releases that wait for a connection.
     pub(super) owed: Vec<CallId>,
 }
@@ -232,6 +234,7 @@
                 waits_since: None,
                 suspected_at: None,
                 dialled_at: now,
+                redial_at: None,
                 owed: Vec::new(),
             };
             self.fleet.servers.insert(id, server);
@@ -247,7 +250,7 @@
             let down = self.fleet.servers.get(&id).is_some_and(|s| s.conns.is_empty());
             if let Some(limits) = self.limits.as_mut().filter(|_| down) {
                 let soon = limits.restarted(id);
-                self.timers.set(now + soon, Due::Redial(id));
+                self.redial_at(id, now + soon);
             }
         }
         if addr != old.addr {
@@ -314,11 +317,34 @@
         out.push(Effect::Dial { conn, addr: s.listing.addr, timeout_ms: self.host.dial_timeout_ms });
     }
 
-    /// Dials a call server again later: after `REDIAL_MS`, or as the fleet limits pace it.
+    /// Dials a call server again later, unless that is to happen already: after `REDIAL_MS`, or as the fleet limits
+    /// pace it.
     fn redial_later(&mut self, server: ServerId) {
         let (now, siblings) = (self.now, self.siblings);
+        if self.fleet.servers.get(&server).is_none_or(|s| s.redial_at.is_some()) {
+            return;
+        }
         let gap = self.limits.as_mut().map_or(REDIAL_MS, |l| l.redial_after(server, now, siblings));
-        self.timers.set(now + gap, Due::Redial(server));
+        self.redial_at(server, now + gap);
+    }
+
+    /// Dials a call server again then, or sooner if that was wanted already. A connection that opens meanwhile serves
+    /// as well.
+    pub(super) fn redial_at(&mut self, server: ServerId, at: f64) {
+        let Some(s) = self.fleet.servers.get_mut(&server) else { return };
+        if s.redial_at.is_none_or(|sooner| at < sooner) {
+            s.redial_at = Some(at);
+            self.timers.set(at, Due::Redial(server));
+        }
+    }
+
+    /// The timer of a redial has run out; one that was replaced by a sooner one, or is not wanted any more, does nothing.
+    pub(super) fn redial_if_due(&mut self, server: ServerId, out: &mut Vec<Effect>) {
+        let now = self.now;
+        let due = |s: &&mut Server| s.redial_at.is_some_and(|at| at <= now);
+        let Some(s) = self.fleet.servers.get_mut(&server).filter(due) else { return };
+        s.redial_at = None;
+        self.redial(server, out);
     }
 
     pub(super) fn redial(&mut self, server: ServerId, out: &mut Vec<Effect>) {
@@ -333,6 +359,7 @@
         if let Some(c) = s.conns.iter_mut().find(|c| c.id == conn) {
             (c.open, c.opened_at, c.heard_at) = (true, self.now, self.now);
         }
+        s.redial_at = None;
         let open = s.conns.iter().filter(|c| c.open).count();
         log::info!("connection {} to {}: open, one of {open}", conn.0, s.listing.name);
         for call in std::mem::take(&mut s.owed) {
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -278,7 +278,7 @@
             }
             Due::DialOver(call, attempt) => self.dial_over(call, attempt),
             Due::Budgets => self.pay_held(out),
-            Due::Redial(server) => self.redial(server, out),
+            Due::Redial(server) => self.redial_if_due(server, out),
             Due::Probe(server) => self.send_probe(server, out),
             Due::ProbeOver(id) => self.probe_over(id),
             Due::CallerSilent(conn) => self.caller_silent(conn, out),
--- a/src/engine/shares/mod.rs
+++ b/src/engine/shares/mod.rs
@@ -9,7 +9,7 @@
 pub(super) use held::Paid;
 pub(super) use payment::Payment;
 
-use super::{Due, Engine};
+use super::{Engine};
 use crate::interface::ServerId;
 use crate::shares::{Exchange, Purse};
 use crate::terms::{Budget, Spending};
@@ -184,7 +184,7 @@
             shares.dial_again.remove(&server);
         } else if shares.dial_again.get(&server).is_none_or(|&at| at <= self.now) {
             shares.dial_again.insert(server, again);
-            self.timers.set(again, Due::Redial(server));
+            self.redial_at(server, again);
         }
         pays
     }
