Stay through a stop for callers that are in the middle of a set-up

What callers saw: a set-up written slowly on an open connection while the program stopped got no answer, as the program ended 0.1 s after its last answer, in the middle of the message. Clients go on sending on open connections until the kill, so that request is lost.

Cause: exit_if_done ended the program 0.1 s after it had begun to close callers' connections, also where a connection could not be closed because something was on its way on it (engine/mod.rs, LEAVES_IN_MS). It now stays for as long as such a connection may last, 3 s at most; connections without a message on their way are closed at once as before.

Evidence: a_set_up_written_slowly_through_the_end_of_a_stop_is_answered found its connection closed before, and hears the refusal now.

--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -44,9 +44,9 @@
 /// After a planned stop begins, set-ups are taken for so long, ms: the front still sends some.
 const STOP_TAKES_MS: f64 = 700.0;
 /// At the end of a planned stop callers' connections are closed as they are found idle. They are looked at so often, and
-/// after this the program ends all the same, ms.
+/// after this the program ends all the same, ms: longer than a caller may pause in the middle of a message.
 const LAST_LOOK_MS: f64 = 25.0;
-const LEAVES_IN_MS: f64 = 100.0;
+const LEAVES_IN_MS: f64 = 3000.0;
 /// A start waits no longer for the call servers' first words before tests pass, ms.
 const READY_ANYWAY_MS: f64 = 3000.0;
 /// A call server's liveness is looked at so often, ms.
--- a/src/engine/shares/mod.rs
+++ b/src/engine/shares/mod.rs
@@ -9,7 +9,7 @@
 pub(super) use held::Paid;
 pub(super) use payment::Payment;
 
-use super::{Engine};
+use super::Engine;
 use crate::interface::ServerId;
 use crate::shares::{Exchange, Purse};
 use crate::terms::{Budget, Spending};
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -3,6 +3,7 @@
 mod bad_input;
 mod crossings;
 mod descriptors;
+mod planned_stop;
 mod readiness;
 mod rig;
 mod speech;
