Answer what a stop leaves open before a kill may come

What callers saw: a set-up at a hanging call server had no answer when SIGKILL came as early as it may, 3.7 s after SIGTERM with deadlines of 3 s and more.

Cause: a stop waited for each set-up until its own deadline. Now what is open 0.1 s before the soonest kill (the longest deadline, counted as 3 s at most, and 0.7 s) is failed and released at its call server.

Evidence: a_stop_answers_what_a_hanging_server_holds_before_the_kill heard nothing in 3.7 s before, where the settings allow no calling off, and hears a failure now.

--- a/src/engine/calls.rs
+++ b/src/engine/calls.rs
@@ -338,6 +338,15 @@
         }
     }
 
+    /// Nothing more is waited for: set-ups that have no answer get one.
+    pub(super) fn fail_open_set_ups(&mut self, out: &mut Vec<Effect>) {
+        for id in self.calls.ids(|c| !c.answered) {
+            log::info!("call {:016x} is failed: the stop is nearly over", id.0);
+            self.news.push_back(module::Event::CallerLeft(id));
+            self.answer(id, ToCaller::Failed(id), out);
+        }
+    }
+
     /// Forgets a call of which nothing is left.
     pub(super) fn tidy(&mut self, id: CallId) {
         if self.calls.live.get(&id).is_some_and(|c| c.answered && c.attempt.is_none() && c.standing.is_none())
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -43,6 +43,10 @@
 
 /// After a planned stop begins, set-ups are taken for so long, ms: the front still sends some.
 const STOP_TAKES_MS: f64 = 700.0;
+/// SIGKILL may follow SIGTERM after the longest deadline, counted as this at most, and `STOP_TAKES_MS`, ms.
+const STOP_DEADLINE_MAX_MS: f64 = 3000.0;
+/// Set-ups that are still open so long before that kill are failed, ms.
+const ANSWER_BEFORE_KILL_MS: f64 = 100.0;
 /// At the end of a planned stop callers' connections are closed as they are found idle. They are looked at so often, and
 /// after this the program ends all the same, ms: longer than a caller may pause in the middle of a message.
 const LAST_LOOK_MS: f64 = 25.0;
@@ -78,6 +82,8 @@
     Sites,
     /// Set-ups are taken no more.
     Stopped,
+    /// A kill may come soon: what is open is failed.
+    KillNear,
     /// Callers' connections are looked at once more before the end.
     LastLook,
 }
@@ -292,6 +298,7 @@
             }
             Due::Sites => self.sites_turned(),
             Due::Stopped => log::info!("set-ups are taken no more"),
+            Due::KillNear => self.fail_open_set_ups(out),
             Due::LastLook => {
                 self.close_idle(out);
                 self.timers.set(self.now + LAST_LOOK_MS, Due::LastLook);
@@ -328,10 +335,17 @@
             log::info!("stopping once all that was taken is answered{heir}");
             (self.stopping, self.successor) = (Some(self.now), successor);
             self.timers.set(self.now + STOP_TAKES_MS, Due::Stopped);
+            self.timers.set(self.now + self.killed_after_ms() - ANSWER_BEFORE_KILL_MS, Due::KillNear);
             self.close_idle(out);
         }
     }
 
+    /// The soonest that SIGKILL may follow SIGTERM, ms.
+    fn killed_after_ms(&self) -> f64 {
+        let longest = self.host.classes.iter().map(|c| c.deadline_ms).fold(0.0, f64::max);
+        longest.min(STOP_DEADLINE_MAX_MS) + STOP_TAKES_MS
+    }
+
     fn takes_calls(&self) -> bool {
         self.stopping.is_none_or(|at| self.now - at < STOP_TAKES_MS)
     }
--- a/tests/process/planned_stop.rs
+++ b/tests/process/planned_stop.rs
@@ -3,8 +3,33 @@
 
 use crate::rig::*;
 use crate::two;
+use serde_json::Value;
 use std::io::Write;
-use std::time::Duration;
+use std::time::{Duration, Instant};
+
+/// With the deadline of 9 s that the tests' settings have.
+const KILLED_AFTER: Duration = Duration::from_millis(3700);
+
+/// Guards against set-ups that a server holds through the whole of a stop: their callers had no answer by the time of the
+/// kill.
+#[test]
+fn a_stop_answers_what_a_hanging_server_holds_before_the_kill() {
+    let (_a, _b, program, _names, mut la, _lb, mut caller) = two();
+    // Nothing is called off and sent elsewhere before its time is over.
+    let mut config: Value = serde_json::from_str(&program.file()).unwrap();
+    config["settings"]["ceilings"]["cancel"] = false.into();
+    program.reload(&config.to_string());
+    program.log_lines();
+    caller.set_up(7, 0, 9000);
+    la.expect("new", 7);
+    let stopped = Instant::now();
+    program.terminate();
+    caller.set_patience(KILLED_AFTER);
+    let (kind, call, _) = caller.hear().expect("an answer before the kill");
+    assert_eq!((kind, call), (12, 7));
+    assert!(stopped.elapsed() < KILLED_AFTER, "{:?}", stopped.elapsed());
+    assert_eq!(la.expect("down", 7)["c"], 16);
+}
 
 /// Guards against a program that ends while a caller is in the middle of a set-up on an open connection: its last byte
 /// came, and no answer did.
