Say that the end of a call that was given up is heard

What callers could see: a release for a call that they had a refusal for, after a restart of the border controller.

Cause: an answer that is lost on a mute connection leaves a call standing at its server after the border controller gave it up. The server's release of it was dropped without a word (ended_by, calls.ended), so the server said it again on each connection that opened, and a later process, which knows nothing of the call, passed it on to the caller.

A call that ends only after the restart is still passed on: the new process has no way to know it.

--- a/src/engine/answers.rs
+++ b/src/engine/answers.rs
@@ -63,6 +63,10 @@
         out: &mut Vec<Effect>,
     ) {
         let Some(call) = self.calls.live.get_mut(&id) else {
+            if how == Ending::Normal && self.calls.ended.all.contains(&id) {
+                // Its answer went astray, and its caller was told otherwise: the call server need not say it again.
+                out.push(Effect::ToServer { conn, message: ToServer::Heard(id), confirm: false });
+            }
             // A call that stood before this program's start is over: its caller is to hear of it.
             if !self.calls.ended.all.contains(&id) && matches!(how, Ending::Normal | Ending::Reset) {
                 let how = if how == Ending::Normal { Release::Completed } else { Release::Cut };
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -88,6 +88,19 @@
     assert!(caller.test(), "nothing but the test's answer comes");
 }
 
+/// Guards against a release that is said again on every new connection, and in the end by a later process to a caller that
+/// had its answer long ago: the program had given the call up, and never said that it heard of the end.
+#[test]
+fn the_end_of_a_call_that_was_given_up_is_said_to_be_heard() {
+    let (_a, _b, _program, _names, mut la, _lb, mut caller) = two();
+    caller.set_up(7, 0, 9000);
+    la.expect("new", 7);
+    caller.say(12, 7, &[(143, &[16])]);
+    la.expect("down", 7);
+    la.down(7, 16, json!({}));
+    la.expect("ack", 7);
+}
+
 #[test]
 fn a_call_that_nobody_answers_fails_before_its_time_is_over() {
     let (_a, _b, _program, _names, mut la, _lb, mut caller) = two();
