Send calls only to the places that the settings name for their class

What call servers saw: set-ups of a class that the settings name other places for (specifics.pools_by_class).

Cause: the list of places was read for the host's checks alone; the decision module chose among all call servers. It now passes over a place that is named for another class and not for this one, where it chooses and where it sends. A place that is named for none came later and stays open to all.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -46,6 +46,8 @@
     /// Senders in this tier, this one included; 1 where the number is not known.
     pub siblings: u32,
     pub classes: Vec<Class>,
+    /// By class, the places that its calls may not go to; a class beyond the end may go anywhere.
+    pub barred_places: Vec<Vec<u32>>,
     pub customers: Vec<Customer>,
     /// Worth of a call beyond its customer's share, as a share of its class's worth.
     pub over_share_worth: f64,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -738,12 +738,17 @@
         }
     }
 
+    /// Whether calls of this class may go there.
+    fn permits(&self, call: &Call, s: &Server) -> bool {
+        self.settings.barred_places.get(call.class).is_none_or(|barred| !barred.contains(&s.place))
+    }
+
     /// First choice, unless closed or its b refuses; else the allowed server with fewest unanswered set-ups.
     /// Where every b refuses the plain draw, a call whose rank still lets it in takes the one that refuses
     /// least: the rank decides who is refused, not where a call goes, or dear calls would pile on one line.
     fn choose(&self, now: f64, live: &Live) -> Option<ServerId> {
         // Where a call got an error it goes only if there is nowhere else.
-        let open = |id: ServerId, s: &Server| self.open(now, id, s);
+        let open = |id: ServerId, s: &Server| self.permits(&live.call, s) && self.open(now, id, s);
         let signs = self.signs(now);
         let first = |s: &Server| Some(s.place) == live.call.first_choice;
         let other = |id: ServerId| live.faulted != Some(id);
@@ -879,7 +884,10 @@
             && now >= live.not_before
             && now < live.deadline
             && live.attempts < self.settings.max_attempts
-            && self.servers.get(&server).is_some_and(|s| self.open(now, server, s));
+            && self
+                .servers
+                .get(&server)
+                .is_some_and(|s| self.permits(&live.call, s) && self.open(now, server, s));
         if !allowed {
             return self.wake(now + HOLD_MS, id, out);
         }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -4,6 +4,7 @@
 
 use crate::interface::{Class, Customer, LoadReport, Reporting, Settings};
 use serde::Deserialize;
+use std::collections::BTreeSet;
 
 /// A load report's columns, in the order sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -197,6 +198,17 @@
     told.filter(|&number| number > 0).unwrap_or(listed).max(1)
 }
 
+/// By class, the places named for other classes and not for it. A place that is named for none came later, and is open to
+/// all; so are all places to a class for which none is named.
+fn barred_places(pools_by_class: &[Vec<u32>]) -> Vec<Vec<u32>> {
+    let named: BTreeSet<u32> = pools_by_class.iter().flatten().copied().collect();
+    let barred = |own: &Vec<u32>| match own.is_empty() {
+        true => Vec::new(),
+        false => named.iter().copied().filter(|place| !own.contains(place)).collect(),
+    };
+    pools_by_class.iter().map(barred).collect()
+}
+
 /// Parses the settings for the module where no peers are listed.
 pub fn parse(text: &[u8]) -> Result<(Settings, Vec<Column>), String> {
     parse_among(text, 0)
@@ -206,6 +218,7 @@
 /// peers; it stands in for a number of senders that the settings do not tell.
 pub fn parse_among(text: &[u8], listed: usize) -> Result<(Settings, Vec<Column>), String> {
     let info: Info = serde_json::from_slice(text).map_err(|e| format!("settings: {e}"))?;
+    let specifics = &info.specifics;
     let columns = info.report.columns.iter().map(|name| column(name)).collect();
     let class = |s: &Service| Class {
         target_ms: s.target_ms,
@@ -216,6 +229,7 @@
     let settings = Settings {
         siblings: senders(info.siblings, listed),
         classes: info.services.iter().map(class).collect(),
+        barred_places: barred_places(&specifics.pools_by_class),
         customers: info.tenants.iter().map(|t| Customer { quota_per_s: t.quota_per_s }).collect(),
         over_share_worth: info.over_share_worth.unwrap_or(1.0),
         reporting: match info.report.how.as_str() {
@@ -228,8 +242,8 @@
         may_tell: info.ceilings.may_tell,
         stay_away_max_ms: if info.ceilings.retry_after { info.ceilings.max_retry_after_ms } else { 0.0 },
         max_attempts: info.ceilings.attempts_cap,
-        guard_ms: info.specifics.guard_ms,
-        resend_ms: info.specifics.t1_ms,
+        guard_ms: specifics.guard_ms,
+        resend_ms: specifics.t1_ms,
         cold_from: info.rules.cold_from,
         cold_ms: info.rules.cold_ms,
         fall_multiple: info.rules.fall_multiple,
--- a/tests/controller.rs
+++ b/tests/controller.rs
@@ -284,6 +284,29 @@
     assert!(refused_dear <= 5, "{refused_dear} dear calls refused");
 }
 
+/// Guards against set-ups at call servers that the settings name for other classes alone.
+#[test]
+fn a_class_goes_only_to_the_places_that_it_may_go_to() {
+    let barred_places = vec![vec![0, 2], vec![]];
+    let classes = vec![settings().classes[0]; 2];
+    let mut rig = Rig::new(Settings { barred_places, classes, ..settings() }, 3);
+    let sent = |rig: &mut Rig, class: usize| -> BTreeSet<u64> {
+        let mut servers = BTreeSet::new();
+        for _ in 0..100 {
+            rig.run_until(rig.now + 50.0);
+            rig.done.clear();
+            let id = rig.call_of(class, 0);
+            for server in rig.sends() {
+                servers.insert(server);
+                rig.stands(id, server, 40.0);
+            }
+        }
+        servers
+    };
+    assert_eq!(sent(&mut rig, 0), BTreeSet::from([1]), "though it names place 0 first");
+    assert!(sent(&mut rig, 1).contains(&0), "the other class may go anywhere");
+}
+
 #[test]
 fn calls_beyond_a_share_go_first() {
     let customers = vec![Customer { quota_per_s: 5000.0 }, Customer { quota_per_s: 5.0 }];
