--- a/src/engine/answers.rs
+++ b/src/engine/answers.rs
@@ -63,7 +63,7 @@
         out: &mut Vec<Effect>,
     ) {
         let Some(call) = self.calls.live.get_mut(&id) else {
-            if how == Ending::Normal && self.calls.ended.all.contains(&id) {
+            if how == Ending::Normal && self.calls.ended.hear_end(id) {
                 // Its answer went astray, and its caller was told otherwise: the call server need not say it again.
                 out.push(Effect::ToServer { conn, message: ToServer::Heard(id), confirm: false });
             }
@@ -78,7 +78,9 @@
         if call.standing.as_ref().is_some_and(|s| s.server == server) {
             out.push(Effect::ToServer { conn, message: ToServer::Heard(id), confirm: false });
             let normal = how == Ending::Normal;
-            return self.over(id, if normal { Release::Completed } else { Release::Cut }, report, out);
+            self.over(id, if normal { Release::Completed } else { Release::Cut }, report, out);
+            self.calls.ended.hear_end(id);
+            return;
         }
         let Some(attempt) = call.attempt.as_ref().filter(|a| a.server == server) else { return };
         let (sent_at, on) = match attempt.stage {
@@ -120,6 +122,7 @@
         out.push(Effect::ToServer { conn, message: ToServer::Heard(id), confirm: false });
         self.tell_ended(id, attempt.server, Outcome::Completed, true, report);
         self.answer(id, ToCaller::Failed(id), out);
+        self.calls.ended.hear_end(id);
     }
 
     /// A call that stood is over, by no wish of its caller: the caller is told.
--- a/src/engine/calls.rs
+++ b/src/engine/calls.rs
@@ -62,19 +62,28 @@
 pub(super) struct Ended {
     pub(super) oldest_first: VecDeque<CallId>,
     pub(super) all: HashSet<CallId>,
+    /// Of these, the ones whose end no call server was told to be heard.
+    unheard: HashSet<CallId>,
 }
 
 impl Ended {
     fn add(&mut self, call: CallId) {
         if self.all.insert(call) {
             self.oldest_first.push_back(call);
+            self.unheard.insert(call);
         }
         if self.oldest_first.len() > ENDED_MAX
             && let Some(oldest) = self.oldest_first.pop_front()
         {
             self.all.remove(&oldest);
+            self.unheard.remove(&oldest);
         }
     }
+
+    /// A call server is told that the end of this call is heard: true the first time.
+    pub(super) fn hear_end(&mut self, call: CallId) -> bool {
+        self.unheard.remove(&call)
+    }
 }
 
 #[derive(Default)]
