Close the connections to call servers as a stopping program leaves

What callers saw: calls whose end came while their border controller waited for the last callers' connections of a stop were never released, also not by its next process.

Cause: the leaving program went on hearing call servers and told them that releases are heard, while the connections of the calls' callers were closed already and what remained was in the middle of a message. All set-ups are answered when the program leaves, so it closes these connections then and dials no more: a call server says its releases on the next that opens.

--- a/src/engine/fleet.rs
+++ b/src/engine/fleet.rs
@@ -33,6 +33,8 @@
     AddressChanged,
     /// The list no longer names the server.
     Delisted,
+    /// The program ends.
+    Leaving,
 }
 
 impl fmt::Display for CloseReason {
@@ -47,6 +49,7 @@
             CloseReason::Vanished => "the server has vanished",
             CloseReason::AddressChanged => "the server has another address",
             CloseReason::Delisted => "the server is no longer listed",
+            CloseReason::Leaving => "the program ends",
         })
     }
 }
@@ -291,7 +294,7 @@
 
     pub(super) fn dial(&mut self, server: ServerId, out: &mut Vec<Effect>) {
         let room = self.fleet.servers.get(&server).is_some_and(|s| s.conns.len() < CONNS_MAX);
-        if !room || !self.may_dial(server) {
+        if !room || self.leaving_since.is_some() || !self.may_dial(server) {
             return;
         }
         let Some(s) = self.fleet.servers.get_mut(&server) else { return };
@@ -437,6 +440,14 @@
         }
     }
 
+    /// The program is about to end: what call servers tell from now on is for the next process, which has callers to pass
+    /// it on to.
+    pub(super) fn leave_servers(&mut self, out: &mut Vec<Effect>) {
+        for server in self.fleet.servers.keys().copied().collect::<Vec<_>>() {
+            self.close_all(server, CloseReason::Leaving, out);
+        }
+    }
+
     pub(super) fn close_all(&mut self, server: ServerId, reason: CloseReason, out: &mut Vec<Effect>) {
         let Some(s) = self.fleet.servers.get(&server) else { return };
         for conn in s.conns.iter().map(|c| c.id).collect::<Vec<_>>() {
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -366,6 +366,7 @@
         if self.leaving_since.is_none() && !self.successor {
             self.leaving_since = Some(self.now);
             out.push(Effect::StopListening);
+            self.leave_servers(out);
             self.close_idle(out);
             self.timers.set(self.now + LAST_LOOK_MS, Due::LastLook);
             // Whoever waited to be accepted is heard before the end.
--- a/tests/process/planned_stop.rs
+++ b/tests/process/planned_stop.rs
@@ -2,7 +2,7 @@
 //! and 0.7 s more after SIGTERM.
 
 use crate::rig::*;
-use crate::two;
+use crate::{stand, two};
 use serde_json::Value;
 use std::io::Write;
 use std::time::{Duration, Instant};
@@ -46,3 +46,21 @@
     caller.expect(12, 7, Some(42));
     assert!(program.wait().success());
 }
+
+/// Guards against a release that a stopping program takes from a call server and has no caller left to pass on to: the next
+/// process never hears of it.
+#[test]
+fn a_stop_that_waits_for_a_slow_caller_takes_no_more_releases() {
+    let (_a, _b, mut program, _names, mut la, _lb, mut caller) = two();
+    stand(&mut caller, &mut la, 7);
+    let mut slow = program.caller();
+    program.terminate();
+    slow.stream.write_all(&Caller::set_up_bytes(8, 0, 9000)[..20]).unwrap();
+    assert_eq!(caller.hear(), None, "its connection is closed at the end of the stop");
+    let closed = Instant::now();
+    while la.is_open() {
+        assert!(closed.elapsed() < Duration::from_millis(500), "it would still be told of releases");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    assert!(program.child.try_wait().unwrap().is_none(), "it waits for the slow caller");
+}
