Go on telling the end of a call while connections come that only test

What callers saw: a call of before a restart ended while no caller was connected, and its caller, who came a little later and only listened, heard nothing.

Cause: a release that no caller is there for went out on three connections at most, until one brought a set-up. After a start the first three are often those that test whether the program is ready, and leave. Now it goes out once more every 250 ms for 30 s, also to connections beyond the third; a crowd still gets no more than that.

--- a/src/engine/release_delivery.rs
+++ b/src/engine/release_delivery.rs
@@ -8,16 +8,27 @@
 const CROSSING_MS: f64 = 250.0;
 /// Releases kept for callers that have no connection open.
 const OWED_MAX: usize = 4096;
-/// Each goes out on so many connections that may be callers' or not, until one says that it heard it: a crowd's are not
-/// to have them all.
+/// Each goes out on so many connections that may be callers' or not, until one says that it heard it; then on one more
+/// from time to time, ms, for as long as a caller may still wait for it, ms: a crowd's are not to have them all.
 const COPIES_MAX: u8 = 3;
+const COPY_AGAIN_MS: f64 = 250.0;
+const COPIES_FOR_MS: f64 = 30_000.0;
 
 /// A release that no caller's connection could take.
 struct Owed {
     call: CallId,
     how: Release,
-    /// Connections on which it went out nevertheless.
+    /// Connections on which it went out nevertheless, and when the last of them was told.
     copies: u8,
+    copied_at: f64,
+    since: f64,
+}
+
+impl Owed {
+    fn may_be_copied(&self, now: f64) -> bool {
+        let again = now - self.copied_at >= COPY_AGAIN_MS && now - self.since < COPIES_FOR_MS;
+        self.copies < COPIES_MAX || again
+    }
 }
 
 /// A release that went out a moment ago.
@@ -75,8 +86,10 @@
 impl Engine {
     /// Releases that found no caller have waited for this connection. Whether a caller holds it only a set-up shows.
     pub(super) fn offer_owed_releases(&mut self, conn: CallerConn, out: &mut Vec<Effect>) {
-        for owed in self.callers.releases.owed.iter_mut().filter(|owed| owed.copies < COPIES_MAX) {
-            owed.copies += 1;
+        let now = self.now;
+        for owed in self.callers.releases.owed.iter_mut().filter(|owed| owed.may_be_copied(now)) {
+            owed.copies = owed.copies.saturating_add(1);
+            owed.copied_at = now;
             let message = ToCaller::Released { call: owed.call, how: owed.how };
             out.push(Effect::ToCaller { conn, message });
         }
@@ -131,7 +144,8 @@
             out.push(Effect::ToCaller { conn, message });
         }
         if caller.is_none() {
-            self.callers.releases.note_owed(Owed { call, how, copies: u8::from(other.is_some()) });
+            let (since, copies) = (self.now, u8::from(other.is_some()));
+            self.callers.releases.note_owed(Owed { call, how, copies, copied_at: since, since });
         }
     }
 
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -246,6 +246,33 @@
     caller.expect(12, 98, Some(41));
 }
 
+/// Guards against a caller that waits in vain for the end of a call of before the start: the first connections, whose owners
+/// tested the program and left, had taken all that was said of it.
+#[test]
+fn a_release_is_told_to_a_caller_that_comes_after_others_that_only_test() {
+    let (a, b) = (Server::start("s-a", 0), Server::start("s-b", 1));
+    let (program, _names) = start(&[&a, &b]);
+    let (mut la, _lb) = (a.accept(), b.accept());
+    la.down(7, 16, json!({}));
+    la.expect("ack", 7);
+    for _ in 0..6 {
+        let mut tests = program.caller();
+        tests.say(52, 0, &[(143, &[0])]);
+        while tests.hear().expect("an answer").0 != 53 {}
+    }
+    // Whoever waits for it comes again when nothing is heard.
+    let since = Instant::now();
+    loop {
+        let mut caller = program.caller();
+        caller.set_patience(Duration::from_millis(300));
+        if let Some((kind, call, _)) = caller.hear() {
+            assert_eq!((kind, call), (12, 7));
+            break;
+        }
+        assert!(since.elapsed() < Duration::from_secs(5), "nobody is told");
+    }
+}
+
 /// A caller closes its connection while a release is on its way there: it goes out again on the next.
 #[test]
 fn a_release_that_crosses_a_close_goes_out_again() {
