Take answers of a name service that needs seconds for them

What call servers saw: set-ups after a drain of which a crowded name service had told, 4 s after each query.

Evidence: a_drain_is_heard_from_a_name_service_that_takes_seconds_to_answer failed before and passes now.

--- a/src/net/names.rs
+++ b/src/net/names.rs
@@ -18,8 +18,8 @@
 /// The list is asked for so often. News counts as told after 1.5 s, and a query or its answer may be lost, so
 /// several must fit in.
 const POLL: Duration = Duration::from_millis(200);
-/// Queries that an answer may still come for.
-const ASKED_MAX: usize = 16;
+/// Queries that an answer may still come for: of the last 12.8 s, as a crowded name service may take seconds.
+const ASKED_MAX: usize = 64;
 /// Above the 8,000 bytes that an answer may hold.
 const ANSWER_MAX: usize = 16 * 1024;
 
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -357,6 +357,20 @@
     caller.expect(12, 7, Some(16));
 }
 
+/// Guards against a crowded name service that is never heard: an answer that took longer than sixteen queries was dropped as
+/// one to no query of ours.
+#[test]
+fn a_drain_is_heard_from_a_name_service_that_takes_seconds_to_answer() {
+    const ANSWERED_AFTER: Duration = Duration::from_secs(4);
+    let (a, b, _program, names, la, mut lb, mut caller) = two();
+    names.change(vec![Listed { draining: true, ..a.listed.clone() }, b.listed.clone()], |state| {
+        state.delay = ANSWERED_AFTER;
+    });
+    caller.set_up(8, 0, 9000);
+    lb.expect("new", 8);
+    assert!(!la.speaks(), "nothing new goes to the one that drains");
+}
+
 /// Queries and answers are lost, one can't be read, and the answer is as long as they come: a drain is heard in
 /// time all the same, and an answer that comes late changes nothing.
 #[test]
--- a/tests/process/rig.rs
+++ b/tests/process/rig.rs
@@ -60,6 +60,8 @@
     pub longest: usize,
     /// Good answers given since the list last changed.
     pub told: u32,
+    /// An answer goes out so long after its query, with the list as it is then.
+    pub delay: Duration,
 }
 
 impl Names {
@@ -76,6 +78,10 @@
                     state.lose -= 1;
                     continue;
                 }
+                if state.delay > Duration::ZERO {
+                    answer_later(&socket, &shared, state.delay, buffer[..n].to_vec(), from);
+                    continue;
+                }
                 for datagram in std::mem::take(&mut state.stray) {
                     socket.send_to(&datagram, from).unwrap();
                 }
@@ -113,6 +119,24 @@
     }
 }
 
+fn answer_later(
+    socket: &UdpSocket,
+    state: &Arc<Mutex<NamesState>>,
+    delay: Duration,
+    query: Vec<u8>,
+    from: SocketAddr,
+) {
+    let (socket, state) = (socket.try_clone().unwrap(), state.clone());
+    std::thread::spawn(move || {
+        std::thread::sleep(delay);
+        let mut state = state.lock().unwrap();
+        state.told += 1;
+        let answer = state.answer(&Message::from_vec(&query).unwrap());
+        // The program may be gone by then.
+        let _ = socket.send_to(&answer, from);
+    });
+}
+
 impl NamesState {
     fn answer(&self, query: &Message) -> Vec<u8> {
         let name = |text: &str| Name::from_ascii(text).unwrap();
