Play short, dense trials over real processes from a seed, held against every rule

Nineteen rules are checked by what callers, call servers and the name service saw; a break names its seed and its call, and the nodes' logs are kept. A stand-in border controller with one flaw at a time (16) shows each check to catch its rule, without a flaw it passes; crashes, readiness and limits are shown by records made by hand.

--- /dev/null
+++ b/tests/soak/main.rs
@@ -0,0 +1,91 @@
+//! Short, dense trials with a handful of real processes, each drawn from a seed, and held against every rule by what
+//! callers, call servers and the name service saw.
+//!
+//! `CORKREACH_SOAK_SEEDS=100..150 cargo test --test soak trials -- --nocapture` plays other seeds than the few of CI, and
+//! `CORKREACH_SOAK_JOBS` at a time. A break names its seed and its call; the logs of its nodes are kept in the system's
+//! folder for temporary files.
+
+mod call_server;
+mod caller;
+mod check;
+mod checkers;
+mod message;
+mod name_service;
+mod node;
+mod record;
+mod stand_in;
+mod trial;
+mod world;
+
+use std::ops::Range;
+use std::path::PathBuf;
+use std::sync::Mutex;
+use trial::{Outcome, Plan, play};
+
+/// The seeds that are played where none are named.
+const SEEDS: Range<u64> = 1..17;
+/// Trials that are played at a time where no number is named.
+const JOBS: usize = 4;
+
+fn seeds() -> Range<u64> {
+    let Ok(text) = std::env::var("CORKREACH_SOAK_SEEDS") else { return SEEDS };
+    let (from, to) = text.split_once("..").unwrap_or((&text, ""));
+    let from: u64 = from.parse().expect("CORKREACH_SOAK_SEEDS: a seed, or a range such as 100..150");
+    from..to.parse().unwrap_or(from + 1)
+}
+
+fn jobs() -> usize {
+    std::env::var("CORKREACH_SOAK_JOBS").ok().and_then(|n| n.parse().ok()).unwrap_or(JOBS)
+}
+
+/// The folder for the logs of this seed.
+fn folder(seed: u64) -> PathBuf {
+    std::env::temp_dir().join(format!("corkreach-soak-{}-{seed}", std::process::id()))
+}
+
+fn report(outcome: &Outcome) {
+    let record = &outcome.record;
+    let stands =
+        |s: &record::SetUp| s.finals.iter().any(|f| matches!(f.kind, record::FinalKind::Stands { .. }));
+    let stood = record.set_ups.values().filter(|s| stands(s)).count();
+    let stalled = record.stalls.iter().map(|(_, ms)| *ms).fold(0.0, f64::max);
+    println!(
+        "seed {}: {} set-ups, {stood} stood, {} attempts, {} processes, longest stall {stalled:.0} ms, {} breaks",
+        outcome.seed,
+        record.set_ups.len(),
+        record.attempts.len(),
+        record.processes.len(),
+        outcome.breaks.len()
+    );
+    for broken in &outcome.breaks {
+        println!("seed {}: {broken}", outcome.seed);
+    }
+}
+
+/// Guards against whatever breaks a rule of the protocol page where faults of callers, call servers, the name service and
+/// the platform meet.
+#[test]
+fn seeded_trials_keep_every_rule() {
+    let queue = Mutex::new(seeds());
+    let broken = Mutex::new(Vec::new());
+    std::thread::scope(|scope| {
+        for network in 0..jobs() {
+            let (queue, broken) = (&queue, &broken);
+            scope.spawn(move || {
+                while let Some(seed) = { queue.lock().unwrap().next() } {
+                    let plan = Plan::draw(seed);
+                    let outcome = play(&plan, network as u8, &folder(seed));
+                    report(&outcome);
+                    if outcome.breaks.is_empty() {
+                        let _ = std::fs::remove_dir_all(folder(seed));
+                    } else {
+                        println!("seed {seed}: logs in {}, {}", folder(seed).display(), plan.describe());
+                        broken.lock().unwrap().push(seed);
+                    }
+                }
+            });
+        }
+    });
+    let broken = broken.into_inner().unwrap();
+    assert!(broken.is_empty(), "rules are broken at seeds {broken:?}");
+}
