--- a/tests/soak/call_server.rs
+++ b/tests/soak/call_server.rs
@@ -13,14 +13,16 @@
 use std::time::Duration;
 use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::mpsc;
 use tokio::task::{JoinHandle, spawn_local};
 
 /// A server that hangs is looked at so often, ms.
 const AWAKE_LOOK_MS: f64 = 10.0;
 /// Connections that wait to be accepted in good health.
-const BACKLOG: i32 = 128;
+const BACKLOG: u32 = 128;
+/// An address that is taken is tried again after this, ms.
+const BIND_AGAIN_MS: f64 = 2.0;
 /// Connections that fill the shortest backlog.
 const FILLERS: usize = 3;
 /// A release that was written to a connection which ends sooner than this may be lost with it, ms.
@@ -197,12 +199,7 @@
         self.accepting.borrow_mut().drain(..).for_each(|task| task.abort());
         self.listeners.borrow_mut().clear();
         for (node, &address) in self.addresses.iter().enumerate() {
-            let socket = tokio::net::TcpSocket::new_v4().unwrap();
-            socket.set_reuseaddr(true).unwrap();
-            socket.bind(address).unwrap();
-            let listener = Rc::new(socket.listen(BACKLOG as u32).unwrap());
-            self.listeners.borrow_mut().push(listener.clone());
-            let accepting = spawn_local(self.clone().accept(node, listener));
+            let accepting = spawn_local(self.clone().accept(node, address));
             self.accepting.borrow_mut().push(accepting);
         }
         let tells = spawn_local(self.clone().tell_state());
@@ -234,7 +231,8 @@
         self.generation.set(self.generation.get() + 1);
         self.vanished.set(true);
         self.accepting.borrow_mut().drain(..).for_each(|task| task.abort());
-        for (listener, &address) in self.listeners.borrow().iter().zip(&self.addresses) {
+        for listener in self.listeners.borrow().iter() {
+            let Ok(address) = listener.local_addr() else { continue };
             SockRef::from(&**listener).listen(0).unwrap();
             for _ in 0..FILLERS {
                 let filler =
@@ -329,8 +327,27 @@
         self.generation.get() == generation && !self.vanished.get()
     }
 
-    async fn accept(self: Rc<Self>, node: usize, listener: Rc<TcpListener>) {
+    /// Listens; what listened before it may hold the address for a moment.
+    async fn listen(&self, address: SocketAddr) -> Rc<TcpListener> {
+        let bind = || {
+            let socket = TcpSocket::new_v4()?;
+            socket.set_reuseaddr(true)?;
+            socket.bind(address)?;
+            socket.listen(BACKLOG)
+        };
+        let listener = loop {
+            match bind() {
+                Ok(listener) => break Rc::new(listener),
+                Err(_) => pause(BIND_AGAIN_MS).await,
+            }
+        };
+        self.listeners.borrow_mut().push(listener.clone());
+        listener
+    }
+
+    async fn accept(self: Rc<Self>, node: usize, address: SocketAddr) {
         let generation = self.generation.get();
+        let listener = self.listen(address).await;
         loop {
             let Ok((stream, _)) = listener.accept().await else { continue };
             let conduct = self.conduct.borrow().clone();
--- a/tests/soak/checkers.rs
+++ b/tests/soak/checkers.rs
@@ -8,9 +8,10 @@
 use crate::stand_in::Flaw;
 use crate::trial::{Fault, Plan, play};
 use std::collections::BTreeSet;
+use std::sync::atomic::{AtomicU8, Ordering};
 
 /// Trials of the checks play in networks of their own, behind those of the seeds.
-const FIRST_NETWORK: u8 = 100;
+static NEXT_NETWORK: AtomicU8 = AtomicU8::new(100);
 const CALM_SEED: u64 = 7;
 
 /// A trial without faults, with callers in good order and two servers.
@@ -37,8 +38,9 @@
 fn seen(flaw: Flaw, edit: impl FnOnce(&mut Plan)) -> BTreeSet<Rule> {
     let mut plan = calm(flaw);
     edit(&mut plan);
-    let folder = folder(10_000 + flaw as u64);
-    let outcome = play(&plan, FIRST_NETWORK + flaw as u8, &folder);
+    let network = NEXT_NETWORK.fetch_add(1, Ordering::Relaxed);
+    let folder = folder(10_000 + u64::from(network));
+    let outcome = play(&plan, network, &folder);
     let _ = std::fs::remove_dir_all(folder);
     assert!(outcome.record.set_ups.len() > 20, "callers came");
     outcome.breaks.iter().take(3).for_each(|broken| println!("{flaw:?}: {broken}"));
@@ -67,6 +69,17 @@
     assert_eq!(seen(Flaw::None, |_| {}), BTreeSet::new());
 }
 
+/// The stand-in does not notice that a server has vanished, as the program did not in the incident of 2026-12-04.
+#[test]
+fn calls_that_stay_at_a_vanished_server_are_caught() {
+    let rules = seen(Flaw::None, |plan| {
+        plan.servers.iter_mut().for_each(|server| server.hold_ms = 60_000.0);
+        plan.faults.push((2000.0, Fault::Vanish { server: 0, ms: 60_000.0, returns: false }));
+        plan.tail_ms = 9000.0;
+    });
+    assert!(rules.contains(&Rule::Release), "seen: {rules:?}");
+}
+
 /// A flaw, the rule that it breaks, and what the trial needs to show it.
 type Case = (Flaw, Rule, fn(&mut Plan));
 
--- a/tests/soak/name_service.rs
+++ b/tests/soak/name_service.rs
@@ -27,6 +27,8 @@
 
 /// Spoilt answers are cut to this length.
 const SPOILT_LENGTH: usize = 40;
+/// An address that is taken is tried again after this, ms.
+const BIND_AGAIN_MS: f64 = 2.0;
 
 pub struct NameService {
     world: Shared,
@@ -43,7 +45,7 @@
 
 impl NameService {
     pub fn start(world: &Shared, node: usize) -> Rc<NameService> {
-        let address = world.address();
+        let address = Self::reserve(world);
         let names = Rc::new(NameService {
             world: world.clone(),
             node,
@@ -54,7 +56,7 @@
             serving: RefCell::default(),
             outage: Cell::new(None),
         });
-        names.clone().listen();
+        names.listen();
         names
     }
 
@@ -69,8 +71,10 @@
 
     /// Moves to another address; nobody answers at the old one any more.
     pub fn move_away(self: &Rc<Self>) {
-        self.address.set(self.world.address());
-        self.clone().listen();
+        self.address.set(Self::reserve(&self.world));
+        if self.health.get() != Health::Down {
+            self.listen();
+        }
     }
 
     pub fn set_delay(&self, delay_ms: f64) {
@@ -82,7 +86,7 @@
         if health == Health::Down {
             self.serving.borrow_mut().take().inspect(JoinHandle::abort);
         } else if was == Health::Down {
-            self.clone().listen();
+            self.listen();
         }
         self.note_outage(!matches!(health, Health::Well | Health::Lossy));
     }
@@ -103,17 +107,29 @@
         }
     }
 
-    fn listen(self: Rc<Self>) {
-        let socket = std::net::UdpSocket::bind(self.address.get()).unwrap();
-        self.address.set(socket.local_addr().unwrap());
-        socket.set_nonblocking(true).unwrap();
-        let socket = Rc::new(UdpSocket::from_std(socket).unwrap());
-        let task = spawn_local(self.clone().serve(socket));
+    /// Another address, at which nobody listens yet.
+    fn reserve(world: &Shared) -> SocketAddr {
+        std::net::UdpSocket::bind(world.address()).unwrap().local_addr().unwrap()
+    }
+
+    fn listen(self: &Rc<Self>) {
+        let task = spawn_local(self.clone().bind_and_serve());
         if let Some(old) = self.serving.borrow_mut().replace(task) {
             old.abort();
         }
     }
 
+    /// Answers that are still under way may hold the address for a moment.
+    async fn bind_and_serve(self: Rc<Self>) {
+        let socket = loop {
+            match UdpSocket::bind(self.address.get()).await {
+                Ok(socket) => break socket,
+                Err(_) => pause(BIND_AGAIN_MS).await,
+            }
+        };
+        self.serve(Rc::new(socket)).await;
+    }
+
     async fn serve(self: Rc<Self>, socket: Rc<UdpSocket>) {
         let mut buffer = [0; 1500];
         let mut odd = false;
--- a/tests/soak/node.rs
+++ b/tests/soak/node.rs
@@ -25,6 +25,9 @@
 const KILL_AFTER_MS: f64 = 700.0;
 const DEADLINE_COUNTED_MS: f64 = 3000.0;
 
+/// A process that was just spawned may still show the descriptors of the rig, which its start closes, ms.
+const SPAWNED_MS: f64 = 100.0;
+
 /// The part of stops that come with further signals.
 const SERIES: f64 = 0.3;
 
@@ -212,6 +215,9 @@
                 self.with_process(process, |p, now| p.ended = Some((now, status.to_string())));
                 continue;
             }
+            if self.world.now() - self.world.record.borrow().processes[process].started_at < SPAWNED_MS {
+                continue;
+            }
             let descriptors = std::fs::read_dir(format!("/proc/{pid}/fd")).map_or(0, Iterator::count);
             let memory_mb = resident_mb(pid);
             self.with_process(process, |p, _| {
