--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -401,11 +401,14 @@
     def signal(self, what):
         self.process.send_signal(what)
 
+    def remove(self):
+        shutil.rmtree(self.tmp, ignore_errors=True)
+
     async def stop(self):
         if self.process is not None and self.process.returncode is None:
             self.process.kill()
             await self.process.wait()
-        shutil.rmtree(self.tmp, ignore_errors=True)
+        self.remove()
 
 
 def main(case, folder):
