--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -1,6 +1,7 @@
 """Stand-ins for the review cases: callers, call servers and the name service, on loopback, as the protocol page
 describes them. Standard library only."""
 import asyncio
+import ctypes
 import json
 import os
 import random
@@ -24,6 +25,11 @@
     """The case could not be carried out."""
 
 
+def end_with_parent():
+    """In a child: the system ends it if the script is killed (PR_SET_PDEATHSIG)."""
+    ctypes.CDLL(None).prctl(1, int(signal.SIGKILL), 0, 0, 0)
+
+
 class Record:
     """record.txt: what was sent, answered and run, with the milliseconds since the start."""
 
@@ -374,7 +380,8 @@
                    GW_MANAGEMENT=self.config["management"], TMPDIR=home)
         self.log = open(log, "w")
         self.process = await asyncio.create_subprocess_exec(
-            "/bin/sh", "-c", run, cwd=ROOT, env=env, stdout=self.log, stderr=self.log)
+            "/bin/sh", "-c", run, cwd=ROOT, env=env, stdout=self.log, stderr=self.log,
+            preexec_fn=end_with_parent)
         for _ in range(100):
             if self.process.returncode is not None:
                 raise CannotRun("the border controller ended at its start; see its log")
@@ -424,12 +431,16 @@
             return await task
         finally:
             for clean in reversed(cleanups):
-                result = clean()
-                if asyncio.iscoroutine(result):
-                    await result
+                try:
+                    result = clean()
+                    if asyncio.iscoroutine(result):
+                        await result
+                except Exception as e:
+                    record("cleaning up: %r" % (e,))
     try:
         broken = asyncio.run(run())
-    except (CannotRun, OSError, asyncio.TimeoutError, asyncio.CancelledError) as e:
+    except (Exception, asyncio.CancelledError) as e:
+        # Whatever goes wrong in the script itself is no broken rule.
         record("could not run: %r" % (e,))
         print("could not run: %r" % (e,))
         os._exit(2)
