Log what is undelivered and unread as the program ends

The log could not tell apart ends that were read after the reducer's last step, releases that found no caller and releases that crossed a close. The end of the program now counts all three.

--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -374,6 +374,14 @@
         }
         let late = self.leaving_since.is_some_and(|at| self.now - at >= LEAVES_IN_MS);
         if late || !self.callers.any() {
+            log::info!(
+                "ending: {} callers' connections left, {} calls stand, {} releases found no caller, {} may have \
+                 crossed a close",
+                self.callers.conns.len(),
+                self.calls.standing_on().count(),
+                self.callers.releases.owed(),
+                self.callers.releases.in_flight(self.now)
+            );
             self.exiting = true;
             out.push(Effect::Exit);
         }
--- a/src/engine/release_delivery.rs
+++ b/src/engine/release_delivery.rs
@@ -49,6 +49,16 @@
 }
 
 impl PendingReleases {
+    /// Releases that no caller was there for.
+    pub(super) fn owed(&self) -> usize {
+        self.owed.len()
+    }
+
+    /// Releases that went out a moment ago and may still be lost with their connection.
+    pub(super) fn in_flight(&self, now: f64) -> usize {
+        self.sent.iter().filter(|sent| sent.at >= now - CROSSING_MS).count()
+    }
+
     /// A caller heard it.
     pub(super) fn heard(&mut self, call: CallId) {
         self.forget_sent(call);
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -10,8 +10,8 @@
 use crate::config::{Config, Source};
 use crate::control::{ControlSettings, Place};
 use crate::engine::{
-    CallerConn, Effect, Engine, Event, OperatorAnswer, OperatorAsk, OperatorConn, PeerReport, ServerConn,
-    Standing,
+    CallerConn, Effect, Engine, Event, FromServer, OperatorAnswer, OperatorAsk, OperatorConn, PeerReport,
+    ServerConn, Standing,
 };
 use crate::fronts::Fronts;
 use crate::limits::{LimitSettings, Limits};
@@ -141,7 +141,7 @@
             driver.stop_listening(&mut listener, &mut text_listener);
         }
     }
-    driver.finish().await;
+    driver.finish(events).await;
     Ok(())
 }
 
@@ -219,6 +219,40 @@
     fleet_file: Option<(ControlSettings, PathBuf)>,
 }
 
+/// What came in after the reducer's last step.
+#[derive(Debug, Default)]
+struct Unheard {
+    /// Messages of callers, and of call servers.
+    callers: usize,
+    servers: usize,
+    /// Of the latter, ends of calls.
+    ends: usize,
+}
+
+impl Unheard {
+    fn note(&mut self, event: &Event) {
+        match event {
+            Event::Caller { .. } => self.callers += 1,
+            Event::Server { message, .. } => {
+                self.servers += 1;
+                if let FromServer::Ended { call, .. } = message {
+                    self.ends += 1;
+                    log::debug!("call {:016x}: its end was read after the last step", call.0);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn log(&self) {
+        let Unheard { callers, servers, ends } = self;
+        log::info!(
+            "ended; read after the last step: {callers} messages of callers, {servers} of call servers, {ends} of \
+             these ends of calls"
+        );
+    }
+}
+
 /// What a caller's connection speaks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Speech {
@@ -577,13 +611,27 @@
         self.step(Event::CallerOpened(conn));
     }
 
-    /// Lets every connection write what it still has, then ends.
-    async fn finish(mut self) {
+    /// Lets every connection write what it still has, then ends. What still comes in is counted and logged, and acted on
+    /// by nobody here.
+    async fn finish(mut self, mut events: mpsc::Receiver<Event>) {
         self.callers.clear();
         self.servers.clear();
-        let all = async { while self.tasks.join_next().await.is_some() {} };
-        if timeout(LAST_WRITES, all).await.is_err() {
+        let mut unheard = Unheard::default();
+        let all = async {
+            loop {
+                tokio::select! {
+                    ended = self.tasks.join_next() => if ended.is_none() { break },
+                    Some(event) = events.recv() => unheard.note(&event),
+                }
+            }
+            while let Ok(event) = events.try_recv() {
+                unheard.note(&event);
+            }
+        };
+        let written = timeout(LAST_WRITES, all).await.is_ok();
+        if !written {
             log::warn!("some last answers could not be written");
         }
+        unheard.log();
     }
 }
