Tell a call server that an end was heard only once it has reached a caller

A call server keeps the end of a call until it is told that the end was heard, and tells it again on the next connection that opens.

An end now keeps who told it. It is said to be heard when the caller says so, or 250 ms after it went out on a connection that was not closed meanwhile.

Tests: an_end_that_no_caller_has_heard_is_not_said_to_be_heard failed before and passes. Three older tests used the early word as a sign that the end had been taken up; they wait for the release of an unasked answer instead and ask for the word after the caller's, which the old code does not give (all three failed on it). a_release_is_offered_to_a_connection_that_opens_on_the_heels_of_others was not run against the old code yet.

--- a/src/engine/answers.rs
+++ b/src/engine/answers.rs
@@ -1,6 +1,7 @@
 //! What call servers say of calls: answers, and the ends of calls that stood or never did.
 
 use super::calls::{Attempt, Call, Stage, Standing};
+use super::release_delivery::{EndOfCall, EndSource};
 use super::{CallerConn, Effect, Ending, Engine, Release, ServerConn, ToCaller, ToServer};
 use crate::audit::Decision;
 use crate::interface::{self as module, CallId, LoadReport, Outcome, ServerId};
@@ -63,24 +64,23 @@
         out: &mut Vec<Effect>,
     ) {
         let Some(call) = self.calls.live.get_mut(&id) else {
-            if how == Ending::Normal && self.calls.ended.hear_end(id) {
+            let pending = self.callers.releases.is_pending(id);
+            if how == Ending::Normal && !pending && self.calls.ended.hear_end(id) {
                 // Its answer went astray, and its caller was told otherwise: the call server need not say it again.
                 out.push(Effect::ToServer { conn, message: ToServer::Heard(id), confirm: false });
             }
             // A call that stood before this program's start is over: its caller is to hear of it.
             if !self.calls.ended.all.contains(&id) && matches!(how, Ending::Normal | Ending::Reset) {
                 let how = if how == Ending::Normal { Release::Completed } else { Release::Cut };
-                self.tell_any_caller(CallerConn(0), ToCaller::Released { call: id, how }, out);
-                out.push(Effect::ToServer { conn, message: ToServer::Heard(id), confirm: false });
+                let end = EndOfCall { call: id, how, source: Some(EndSource { server, conn }) };
+                self.release_to_caller(CallerConn(0), end, out);
             }
             return;
         };
         if call.standing.as_ref().is_some_and(|s| s.server == server) {
-            out.push(Effect::ToServer { conn, message: ToServer::Heard(id), confirm: false });
-            let normal = how == Ending::Normal;
-            self.over(id, if normal { Release::Completed } else { Release::Cut }, report, out);
-            self.calls.ended.hear_end(id);
-            return;
+            let how = if how == Ending::Normal { Release::Completed } else { Release::Cut };
+            let end = EndOfCall { call: id, how, source: Some(EndSource { server, conn }) };
+            return self.over(end, report, out);
         }
         let Some(attempt) = call.attempt.as_ref().filter(|a| a.server == server) else { return };
         let (sent_at, on) = match attempt.stage {
@@ -126,14 +126,15 @@
     }
 
     /// A call that stood is over, by no wish of its caller: the caller is told.
-    fn over(&mut self, id: CallId, how: Release, report: LoadReport, out: &mut Vec<Effect>) {
+    fn over(&mut self, end: EndOfCall, report: LoadReport, out: &mut Vec<Effect>) {
+        let id = end.call;
         let Some(call) = self.calls.live.get_mut(&id) else { return };
         let Some(standing) = call.standing.take() else { return };
         let conn = call.conn;
         self.calls.forget(id);
         self.decided(id, out, || Decision::Released);
-        self.tell_any_caller(conn, ToCaller::Released { call: id, how }, out);
-        let outcome = if how == Release::Completed { Outcome::Completed } else { Outcome::Reset };
+        self.release_to_caller(conn, end, out);
+        let outcome = if end.how == Release::Completed { Outcome::Completed } else { Outcome::Reset };
         self.tell_ended(id, standing.server, outcome, true, report);
     }
 
@@ -145,7 +146,8 @@
             log::info!("{} calls cut at {}", cut.len(), self.fleet.name(server));
         }
         for id in cut {
-            self.over(id, Release::Cut, LoadReport::default(), out);
+            let end = EndOfCall { call: id, how: Release::Cut, source: None };
+            self.over(end, LoadReport::default(), out);
         }
     }
 }
--- a/src/engine/callers.rs
+++ b/src/engine/callers.rs
@@ -73,7 +73,7 @@
         };
         self.callers.conns.insert(conn, new);
         self.timers.set(self.now + SILENT_MS, Due::CallerSilent(conn));
-        self.offer_owed_releases(conn, out);
+        self.offer_owed_releases(out);
         self.make_room_if_crowded(conn, out);
     }
 
@@ -119,7 +119,7 @@
                     self.release_everywhere(call, out);
                 }
             }
-            FromCaller::Heard(call) => self.callers.releases.heard(call),
+            FromCaller::Heard(call) => self.release_heard(call, out),
             FromCaller::Test(call) => {
                 let passed = self.ready();
                 out.push(Effect::ToCaller { conn, message: ToCaller::Tested { call, passed } });
@@ -155,6 +155,7 @@
 
     pub(super) fn look_at_callers(&mut self, out: &mut Vec<Effect>) {
         self.callers.conns.values_mut().for_each(|c| c.passed_on = 0);
+        self.look_at_releases(out);
         self.close_idle(out);
     }
 }
--- a/src/engine/release_delivery.rs
+++ b/src/engine/release_delivery.rs
@@ -1,42 +1,57 @@
-//! On which connection a caller is told that its call is over, and how often.
-
-use super::{CallerConn, Effect, Engine, Release, ToCaller};
-use crate::interface::CallId;
+//! On which connection a caller is told that its call is over, how often, and when the call server hears that it was.
+//!
+//! A call server keeps the end of a call until it is told that the end was heard, and tells it again on the next connection
+//! that opens. So it is told so only once the end has reached a caller: a process that ends before leaves the end to the
+//! next one.
+
+use super::{CallerConn, Effect, Engine, Release, ServerConn, ToCaller, ToServer};
+use crate::interface::{CallId, ServerId};
 use std::collections::VecDeque;
 
 /// A connection that its caller closes so soon after a release went out may have crossed it, ms.
 const CROSSING_MS: f64 = 250.0;
 /// Releases kept for callers that have no connection open.
 const OWED_MAX: usize = 4096;
-/// Each goes out on so many connections that may be callers' or not, until one says that it heard it; then on one more
-/// from time to time, ms, for as long as a caller may still wait for it, ms: a crowd's are not to have them all.
-const COPIES_MAX: u8 = 3;
-const COPY_AGAIN_MS: f64 = 250.0;
-const COPIES_FOR_MS: f64 = 30_000.0;
+/// Releases offered between two looks to connections that may be a caller's or not: a crowd does not take all the time.
+const OFFERS_MAX: usize = 4096;
+/// An owed release is offered for as long as a caller may still wait for it, ms.
+const OFFERED_FOR_MS: f64 = 30_000.0;
+
+/// Who told of the end of a call, and on which connection.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) struct EndSource {
+    pub(super) server: ServerId,
+    pub(super) conn: ServerConn,
+}
 
-/// A release that no caller's connection could take.
-struct Owed {
-    call: CallId,
-    how: Release,
-    /// Connections on which it went out nevertheless, and when the last of them was told.
-    copies: u8,
-    copied_at: f64,
-    since: f64,
+/// A call that stood is over, and its caller is to be told.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) struct EndOfCall {
+    pub(super) call: CallId,
+    pub(super) how: Release,
+    /// None: no call server told it; the call was cut.
+    pub(super) source: Option<EndSource>,
 }
 
-impl Owed {
-    fn may_be_copied(&self, now: f64) -> bool {
-        let again = now - self.copied_at >= COPY_AGAIN_MS && now - self.since < COPIES_FOR_MS;
-        self.copies < COPIES_MAX || again
+impl EndOfCall {
+    fn message(&self) -> ToCaller {
+        ToCaller::Released { call: self.call, how: self.how }
     }
 }
 
+/// A release that no caller's connection could take.
+struct Owed {
+    end: EndOfCall,
+    since: f64,
+    /// It was offered to each open connection up to this one.
+    offered_up_to: CallerConn,
+}
+
 /// A release that went out a moment ago.
 struct Sent {
     at: f64,
     conn: CallerConn,
-    call: CallId,
-    how: Release,
+    end: EndOfCall,
 }
 
 /// Releases that may still have to go out again.
@@ -46,6 +61,8 @@
     owed: VecDeque<Owed>,
     /// Those that went out a moment ago and were not said to be heard, oldest first.
     sent: VecDeque<Sent>,
+    /// Offers made since the last look.
+    offers: usize,
 }
 
 impl PendingReleases {
@@ -59,27 +76,34 @@
         self.sent.iter().filter(|sent| sent.at >= now - CROSSING_MS).count()
     }
 
-    /// A caller heard it.
-    pub(super) fn heard(&mut self, call: CallId) {
-        self.forget_sent(call);
-        self.owed.retain(|owed| owed.call != call);
+    /// Whether the end of this call has not reached a caller for certain.
+    pub(super) fn is_pending(&self, call: CallId) -> bool {
+        self.owed.iter().any(|owed| owed.end.call == call) || self.sent.iter().any(|s| s.end.call == call)
     }
 
-    fn forget_sent(&mut self, call: CallId) {
-        self.sent.retain(|sent| sent.call != call);
+    /// Takes out what is pending of this call.
+    fn take(&mut self, call: CallId) -> Option<EndOfCall> {
+        let sent = self.sent.iter().position(|sent| sent.end.call == call);
+        let sent = sent.and_then(|place| self.sent.remove(place)).map(|sent| sent.end);
+        let owed = self.owed.iter().position(|owed| owed.end.call == call);
+        let owed = owed.and_then(|place| self.owed.remove(place)).map(|owed| owed.end);
+        sent.or(owed)
     }
 
-    /// Notes one that goes out now; those that no close can have crossed any more are forgotten.
-    fn note_sent(&mut self, new: Sent) {
-        let since = new.at - CROSSING_MS;
-        while self.sent.front().is_some_and(|sent| sent.at < since) {
-            self.sent.pop_front();
-        }
-        self.sent.push_back(new);
+    /// Takes out the release of this call that went out on this connection.
+    fn take_sent(&mut self, conn: CallerConn, call: CallId) -> Option<EndOfCall> {
+        let sent = self.sent.iter().position(|sent| sent.conn == conn && sent.end.call == call)?;
+        self.sent.remove(sent).map(|sent| sent.end)
     }
 
-    fn note_owed(&mut self, new: Owed) {
-        self.owed.push_back(new);
+    /// Takes out those that no close can have crossed any more.
+    fn take_delivered(&mut self, now: f64) -> Vec<EndOfCall> {
+        let delivered = self.sent.iter().take_while(|sent| sent.at < now - CROSSING_MS).count();
+        self.sent.drain(..delivered).map(|sent| sent.end).collect()
+    }
+
+    fn note_owed(&mut self, end: EndOfCall, since: f64) {
+        self.owed.push_back(Owed { end, since, offered_up_to: CallerConn(0) });
         if self.owed.len() > OWED_MAX {
             self.owed.pop_front();
         }
@@ -94,14 +118,52 @@
 }
 
 impl Engine {
-    /// Releases that found no caller have waited for this connection. Whether a caller holds it only a set-up shows.
-    pub(super) fn offer_owed_releases(&mut self, conn: CallerConn, out: &mut Vec<Effect>) {
+    /// Releases that found no caller are offered to each connection that is open, as far as the number of offers allows:
+    /// whether a caller holds it only a set-up shows.
+    pub(super) fn offer_owed_releases(&mut self, out: &mut Vec<Effect>) {
         let now = self.now;
-        for owed in self.callers.releases.owed.iter_mut().filter(|owed| owed.may_be_copied(now)) {
-            owed.copies = owed.copies.saturating_add(1);
-            owed.copied_at = now;
-            let message = ToCaller::Released { call: owed.call, how: owed.how };
-            out.push(Effect::ToCaller { conn, message });
+        let conns = &self.callers.conns;
+        let releases = &mut self.callers.releases;
+        let Some((&newest, _)) = conns.last_key_value() else { return };
+        let waits = |owed: &&mut Owed| owed.offered_up_to < newest && now - owed.since < OFFERED_FOR_MS;
+        for owed in releases.owed.iter_mut().filter(waits) {
+            let from = CallerConn(owed.offered_up_to.0 + 1);
+            for (&conn, c) in conns.range(from..) {
+                if releases.offers >= OFFERS_MAX {
+                    return;
+                }
+                owed.offered_up_to = conn;
+                if c.open {
+                    releases.offers += 1;
+                    out.push(Effect::ToCaller { conn, message: owed.end.message() });
+                }
+            }
+        }
+    }
+
+    /// At each look: call servers hear of the ends that have reached their callers, and what could not be offered yet is.
+    pub(super) fn look_at_releases(&mut self, out: &mut Vec<Effect>) {
+        for end in self.callers.releases.take_delivered(self.now) {
+            self.acknowledge(end, out);
+        }
+        self.callers.releases.offers = 0;
+        self.offer_owed_releases(out);
+    }
+
+    /// A caller says that it heard of the end of a call.
+    pub(super) fn release_heard(&mut self, call: CallId, out: &mut Vec<Effect>) {
+        if let Some(end) = self.callers.releases.take(call) {
+            self.acknowledge(end, out);
+        }
+    }
+
+    /// The call server that told of the end need not say it again.
+    fn acknowledge(&mut self, end: EndOfCall, out: &mut Vec<Effect>) {
+        let Some(EndSource { server, conn }) = end.source else { return };
+        self.calls.ended.hear_end(end.call);
+        let own = Some(conn).filter(|&conn| self.fleet.is_open(conn));
+        if let Some(conn) = own.or_else(|| self.fleet.best(server)) {
+            out.push(Effect::ToServer { conn, message: ToServer::Heard(end.call), confirm: false });
         }
     }
 
@@ -114,9 +176,12 @@
         out: &mut Vec<Effect>,
     ) {
         for message in unsent {
-            if let ToCaller::Released { call, .. } = message {
-                self.callers.releases.forget_sent(call);
-                self.tell_any_caller(conn, message, out);
+            if let ToCaller::Released { call, how } = message {
+                let own = self.callers.releases.take_sent(conn, call);
+                if own.is_some() || !self.callers.releases.is_pending(call) {
+                    let end = own.unwrap_or(EndOfCall { call, how, source: None });
+                    self.release_to_caller(conn, end, out);
+                }
             }
         }
         self.release_again(conn, out);
@@ -126,36 +191,31 @@
     /// and goes out on another connection.
     fn release_again(&mut self, conn: CallerConn, out: &mut Vec<Effect>) {
         let since = self.now - CROSSING_MS;
-        let crossed = self.callers.releases.take_sent_on(conn);
-        for Sent { call, how, .. } in crossed.into_iter().filter(|sent| sent.at >= since) {
-            self.tell_any_caller(conn, ToCaller::Released { call, how }, out);
+        for Sent { at, end, .. } in self.callers.releases.take_sent_on(conn) {
+            if at >= since {
+                self.release_to_caller(conn, end, out);
+            } else {
+                self.acknowledge(end, out);
+            }
         }
     }
 
     /// On the connection of the set-up, else on another caller's; else on the next that brings a set-up, and meanwhile
-    /// on a few of those that may be callers'.
-    pub(super) fn tell_any_caller(&mut self, conn: CallerConn, message: ToCaller, out: &mut Vec<Effect>) {
+    /// it is offered to those that may be callers'.
+    pub(super) fn release_to_caller(&mut self, conn: CallerConn, end: EndOfCall, out: &mut Vec<Effect>) {
         let conns = &self.callers.conns;
         let own = conns.get(&conn).filter(|c| c.open).map(|_| conn);
         // The one heard last is the least likely to be closed by its caller meanwhile.
-        let last = |calls: bool| {
-            let open = conns.iter().filter(|(_, c)| c.open && c.calls == calls);
-            let last =
-                open.max_by(|(_, a), (_, b)| a.asked.cmp(&b.asked).then(a.heard_at.total_cmp(&b.heard_at)));
-            last.map(|(&id, _)| id)
-        };
-        let (caller, other) = (own.or_else(|| last(true)), last(false));
-        let ToCaller::Released { call, how } = message else {
-            out.extend(caller.or(other).map(|conn| Effect::ToCaller { conn, message }));
-            return;
+        let last = || {
+            let open = conns.iter().filter(|(_, c)| c.open && c.calls);
+            open.max_by(|(_, a), (_, b)| a.heard_at.total_cmp(&b.heard_at)).map(|(&id, _)| id)
         };
-        if let Some(conn) = caller.or(other) {
-            self.callers.releases.note_sent(Sent { at: self.now, conn, call, how });
-            out.push(Effect::ToCaller { conn, message });
-        }
-        if caller.is_none() {
-            let (since, copies) = (self.now, u8::from(other.is_some()));
-            self.callers.releases.note_owed(Owed { call, how, copies, copied_at: since, since });
+        if let Some(conn) = own.or_else(last) {
+            self.callers.releases.sent.push_back(Sent { at: self.now, conn, end });
+            out.push(Effect::ToCaller { conn, message: end.message() });
+        } else {
+            self.callers.releases.note_owed(end, self.now);
+            self.offer_owed_releases(out);
         }
     }
 
@@ -163,8 +223,8 @@
     pub(super) fn brought_call(&mut self, conn: CallerConn, out: &mut Vec<Effect>) {
         let Some(c) = self.callers.conns.get_mut(&conn).filter(|c| !c.calls) else { return };
         c.calls = true;
-        for Owed { call, how, .. } in std::mem::take(&mut self.callers.releases.owed) {
-            self.tell_any_caller(conn, ToCaller::Released { call, how }, out);
+        for Owed { end, .. } in std::mem::take(&mut self.callers.releases.owed) {
+            self.release_to_caller(conn, end, out);
         }
     }
 }
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -238,9 +238,11 @@
     assert!(caller.test(), "nothing but the test's answer comes");
     caller.leave();
     la.down(7, 16, json!({}));
-    la.expect("ack", 7);
+    wait_until_read(&mut la, 97);
     let mut caller = program.caller();
     caller.expect(12, 7, Some(16));
+    caller.say(16, 7, &[]);
+    la.expect("ack", 7);
     // So does one of a call that stood before the program's start.
     la.down(98, 41, json!({}));
     caller.expect(12, 98, Some(41));
@@ -254,7 +256,7 @@
     let (program, _names) = start(&[&a, &b]);
     let (mut la, _lb) = (a.accept(), b.accept());
     la.down(7, 16, json!({}));
-    la.expect("ack", 7);
+    wait_until_read(&mut la, 99);
     for _ in 0..6 {
         let mut tests = program.caller();
         tests.say(52, 0, &[(143, &[0])]);
@@ -267,10 +269,52 @@
         caller.set_patience(Duration::from_millis(300));
         if let Some((kind, call, _)) = caller.hear() {
             assert_eq!((kind, call), (12, 7));
+            caller.say(16, 7, &[]);
             break;
         }
         assert!(since.elapsed() < Duration::from_secs(5), "nobody is told");
     }
+    la.expect("ack", 7);
+}
+
+/// Guards against a caller whose connection opens on the heels of others: the release that waited for it had gone to three of
+/// those, and came again only with a set-up.
+#[test]
+fn a_release_is_offered_to_a_connection_that_opens_on_the_heels_of_others() {
+    let (_a, _b, program, _names, mut la, _lb, mut caller) = two();
+    stand(&mut caller, &mut la, 7);
+    caller.leave();
+    la.down(7, 16, json!({}));
+    wait_until_read(&mut la, 99);
+    let connections: Vec<Caller> = (0..8).map(|_| program.caller()).collect();
+    for mut connection in connections {
+        connection.expect(12, 7, Some(16));
+    }
+}
+
+/// Returns once the program has taken up all that was said on this connection: it releases a call that nobody asked for.
+fn wait_until_read(link: &mut Link, unasked: u64) {
+    link.up(unasked);
+    link.expect("down", unasked);
+}
+
+/// Guards against an end of a call that no caller heard: the call server had been told that it was heard, and said it to no
+/// later process.
+#[test]
+fn an_end_that_no_caller_has_heard_is_not_said_to_be_heard() {
+    let (_a, _b, program, _names, mut la, _lb, mut caller) = two();
+    stand(&mut caller, &mut la, 7);
+    caller.leave();
+    la.down(7, 16, json!({}));
+    wait_until_read(&mut la, 99);
+    // What is said to a call server stays in order: with the end said to be heard, that would come first.
+    let mut caller = program.caller();
+    caller.expect(12, 7, Some(16));
+    caller.set_up(8, 0, 9000);
+    la.expect("new", 8);
+    caller.expect(12, 7, Some(16));
+    caller.say(16, 7, &[]);
+    la.expect("ack", 7);
 }
 
 /// A caller closes its connection while a release is on its way there: it goes out again on the next.
@@ -280,13 +324,14 @@
     for call in 1..=8 {
         stand(&mut caller, &mut la, call);
         la.down(call, 16, json!({}));
-        la.expect("ack", call);
+        wait_until_read(&mut la, 100 + call);
         // The release went out, or is about to, and is left unread.
         drop(caller);
         caller = program.caller();
         caller.expect(12, call, Some(16));
         // One that is said to be heard does not come again, however soon the connection closes.
         caller.say(16, call, &[]);
+        la.expect("ack", call);
     }
 }
 
