Pass on the end of a call from before the start once

Only the ends of the process's own calls were remembered. Ends of calls that it has not seen are now remembered with them, among the last 4,096.

Test: an_end_of_a_call_of_before_the_start_is_told_once failed before and passes.

--- a/src/engine/answers.rs
+++ b/src/engine/answers.rs
@@ -71,6 +71,7 @@
             }
             // A call that stood before this program's start is over: its caller is to hear of it.
             if !self.calls.ended.all.contains(&id) && matches!(how, Ending::Normal | Ending::Reset) {
+                self.calls.ended.add(id);
                 let how = if how == Ending::Normal { Release::Completed } else { Release::Cut };
                 let end = EndOfCall { call: id, how, source: Some(EndSource { server, conn }) };
                 self.release_to_caller(CallerConn(0), end, out);
--- a/src/engine/calls.rs
+++ b/src/engine/calls.rs
@@ -67,7 +67,7 @@
 }
 
 impl Ended {
-    fn add(&mut self, call: CallId) {
+    pub(super) fn add(&mut self, call: CallId) {
         if self.all.insert(call) {
             self.oldest_first.push_back(call);
             self.unheard.insert(call);
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -292,6 +292,21 @@
     }
 }
 
+/// Guards against a caller that is told twice of the end of a call from before the start, as its call server says it again
+/// on another connection.
+#[test]
+fn an_end_of_a_call_of_before_the_start_is_told_once() {
+    let (_a, _b, _program, _names, mut la, mut lb, mut caller) = two();
+    stand(&mut caller, &mut la, 7);
+    la.down(50, 16, json!({}));
+    caller.expect(12, 50, Some(16));
+    for link in [&mut la, &mut lb] {
+        link.down(50, 16, json!({}));
+        wait_until_read(link, 99);
+    }
+    assert!(caller.test(), "nothing but the test's answer comes");
+}
+
 /// Returns once the program has taken up all that was said on this connection: it releases a call that nobody asked for.
 fn wait_until_read(link: &mut Link, unasked: u64) {
     link.up(unasked);
