Have the new process told of what call servers said as the old one left

The old process ended with its last callers' connection and only then closed its connections to the call servers. The new process had its connections open, so no other one opened on which the ends would be said again.

Each process now shows its presence at its address by a locked file in $TMPDIR until its call servers have been left or it has ended, however. A later process that saw it there then opens one more connection to each call server, again and again until one comes up; what nobody was told of comes on it. Related, same cause: a half message or a crowd kept the old process at its call servers with no caller left to tell; a write that stood still while an attempt was called off did as well; a dial under way as the program left opened all the same and took what was said on it.

--- a/src/engine/callers.rs
+++ b/src/engine/callers.rs
@@ -47,6 +47,11 @@
         !self.conns.is_empty()
     }
 
+    /// Whether a connection that has brought a set-up is left.
+    pub fn any_with_calls(&self) -> bool {
+        self.conns.values().any(|c| c.calls)
+    }
+
     /// Whether the caller has shut its side of this connection.
     pub fn has_shut(&self, conn: CallerConn) -> bool {
         self.conns.get(&conn).is_some_and(|c| !c.open)
--- a/src/engine/calls.rs
+++ b/src/engine/calls.rs
@@ -102,6 +102,7 @@
         self.live.values().filter(|c| !c.answered || c.standing.is_some()).count()
     }
 
+    #[cfg(test)]
     pub fn none_in_set_up(&self) -> bool {
         self.live.values().all(|c| c.answered && c.attempt.is_none())
     }
--- a/src/engine/fleet.rs
+++ b/src/engine/fleet.rs
@@ -97,6 +97,9 @@
     /// A look first found it silent, with work of ours, then.
     pub(super) suspected_at: Option<f64>,
     pub(super) dialled_at: f64,
+    /// A connection dialled since then is wanted: what was told on others before may have reached nobody, and comes again
+    /// on the next that opens.
+    pub(super) wants_dial_since: Option<f64>,
     /// It is dialled again then.
     pub(super) redial_at: Option<f64>,
     /// Releases that wait for a connection.
@@ -237,6 +240,7 @@
                 waits_since: None,
                 suspected_at: None,
                 dialled_at: now,
+                wants_dial_since: None,
                 redial_at: None,
                 owed: Vec::new(),
             };
@@ -351,7 +355,9 @@
     }
 
     pub(super) fn redial(&mut self, server: ServerId, out: &mut Vec<Effect>) {
-        if self.fleet.servers.get(&server).is_some_and(|s| !s.dialling()) {
+        if self.fleet.servers.get(&server).is_some_and(|s| s.wants_dial_since.is_some()) {
+            self.dial_to_look(server, CONNS_MAX, out);
+        } else if self.fleet.servers.get(&server).is_some_and(|s| !s.dialling()) {
             self.dial(server, out);
         }
     }
@@ -360,6 +366,8 @@
         let Some(&server) = self.fleet.by_conn.get(&conn) else { return };
         let Some(s) = self.fleet.servers.get_mut(&server) else { return };
         if let Some(c) = s.conns.iter_mut().find(|c| c.id == conn) {
+            let dialled_at = c.opened_at;
+            s.wants_dial_since = s.wants_dial_since.filter(|&since| dialled_at < since);
             (c.open, c.opened_at, c.heard_at) = (true, self.now, self.now);
         }
         s.redial_at = None;
@@ -373,6 +381,7 @@
 
     pub(super) fn server_lost(&mut self, conn: ServerConn, how: Lost, out: &mut Vec<Effect>) {
         self.fleet.closing.remove(&conn);
+        self.tell_servers_left(out);
         let one_too_many = self.one_too_many(conn);
         let was_open = self.fleet.is_open(conn);
         let Some((server, lived_ms)) = self.drop_conn(conn) else { return };
@@ -398,8 +407,11 @@
         let Some(s) = self.fleet.servers.get_mut(&server) else { return };
         if matches!(how, Lost::Refused | Lost::TimedOut) {
             (s.tried, s.failed) = (true, s.failed + 1);
+            let wants_dial = s.wants_dial_since.is_some();
             if alone {
                 self.end_waiting(server, Outcome::NotConnected);
+            }
+            if alone || wants_dial {
                 self.redial_later(server);
             }
         } else if one_too_many && !alone {
@@ -446,6 +458,28 @@
         for server in self.fleet.servers.keys().copied().collect::<Vec<_>>() {
             self.close_all(server, CloseReason::Leaving, out);
         }
+        self.tell_servers_left(out);
+    }
+
+    /// Once the program leaves and the last connection to a call server has been read out.
+    fn tell_servers_left(&self, out: &mut Vec<Effect>) {
+        if self.leaving_since.is_some() && self.fleet.closing.is_empty() {
+            out.push(Effect::ServersLeft);
+        }
+    }
+
+    /// The process that served here before can be told of nothing any more. What call servers told it last may have
+    /// reached no caller: they tell it again on the next connection that opens.
+    pub(super) fn predecessor_gone(&mut self, out: &mut Vec<Effect>) {
+        log::info!(
+            "a process that served at this address has left its call servers: each is dialled once more"
+        );
+        for server in self.fleet.servers.keys().copied().collect::<Vec<_>>() {
+            if let Some(s) = self.fleet.servers.get_mut(&server) {
+                s.wants_dial_since = Some(self.now);
+            }
+            self.dial_to_look(server, CONNS_MAX, out);
+        }
     }
 
     pub(super) fn close_all(&mut self, server: ServerId, reason: CloseReason, out: &mut Vec<Effect>) {
--- a/src/engine/messages.rs
+++ b/src/engine/messages.rs
@@ -339,6 +339,8 @@
         serial: u32,
         servers: Vec<Listing>,
     },
+    /// A process that served at this address before this one can be told of nothing any more.
+    PredecessorGone,
     /// A timer may be due.
     Tick,
     /// A border controller, by its place among them, tells what it heard of a call server.
@@ -391,6 +393,8 @@
         confirm: bool,
     },
     CloseServer(ServerConn),
+    /// Call servers can tell this process of nothing any more.
+    ServersLeft,
     /// To every other border controller; it may be lost.
     ToPeers(PeerReport),
     /// To be written to the audit log before any effect beside it is carried out.
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -51,6 +51,8 @@
 /// after this the program ends all the same, ms: longer than a caller may pause in the middle of a message.
 const LAST_LOOK_MS: f64 = 25.0;
 const LEAVES_IN_MS: f64 = 3000.0;
+/// As a successor takes over, a connection that has brought no set-up is waited for so long once no other is left, ms.
+const FIRST_CALL_MS: f64 = 150.0;
 /// A start waits no longer for the call servers' first words before tests pass, ms.
 const READY_ANYWAY_MS: f64 = 3000.0;
 /// A call server's liveness is looked at so often, ms.
@@ -84,6 +86,8 @@
     Stopped,
     /// A kill may come soon: what is open is failed.
     KillNear,
+    /// No connection that has brought a set-up was left for a while.
+    CallersLeft,
     /// Callers' connections are looked at once more before the end.
     LastLook,
 }
@@ -130,6 +134,8 @@
     leaving_since: Option<f64>,
     /// The program that takes this one's place is there already.
     successor: bool,
+    /// No connection that has brought a set-up is left since then.
+    without_callers_since: Option<f64>,
     /// An operator ordered the drain then.
     out_of_service: Option<f64>,
     /// And it was to shut it out.
@@ -175,6 +181,7 @@
             stopping: None,
             leaving_since: None,
             successor: false,
+            without_callers_since: None,
             out_of_service: None,
             shut_out: false,
             audited: false,
@@ -230,6 +237,7 @@
             Event::ServerLost { conn, how } => self.server_lost(conn, how, out),
             Event::List { serial, servers } => self.follow_list(serial, servers, out),
             Event::Settings { settings, host } => self.follow_settings(settings, host),
+            Event::PredecessorGone => self.predecessor_gone(out),
             Event::Tick => {}
             Event::Peer { from, told } => self.hear_peer(from, told),
             Event::Operator { conn, ask } => self.hear_operator(conn, ask, out),
@@ -298,6 +306,8 @@
             }
             Due::Sites => self.sites_turned(),
             Due::Stopped => log::info!("set-ups are taken no more"),
+            // The end of the program is looked at after each step.
+            Due::CallersLeft => {}
             Due::KillNear => self.fail_open_set_ups(out),
             Due::LastLook => {
                 self.close_idle(out);
@@ -347,28 +357,44 @@
     }
 
     fn takes_calls(&self) -> bool {
-        self.stopping.is_none_or(|at| self.now - at < STOP_TAKES_MS)
+        self.leaving_since.is_none() && self.stopping.is_none_or(|at| self.now - at < STOP_TAKES_MS)
     }
 
-    /// All that was taken is answered, and nothing more is taken up here.
+    /// The program stops, and all that was taken is answered. Attempts that are still being called off end with their
+    /// connections.
     fn all_answered(&self) -> bool {
         let takes_none = self.successor || !self.takes_calls();
-        self.stopping.is_some() && takes_none && self.calls.none_in_set_up()
+        self.stopping.is_some() && takes_none && self.calls.waiting_on().next().is_none()
+    }
+
+    /// With a successor, whether any connection may still bring a set-up, or take a release. One that has brought none
+    /// has a moment for it: no longer, as what call servers tell meanwhile finds no caller here.
+    fn serves_callers(&mut self) -> bool {
+        if !self.successor {
+            return false;
+        }
+        if self.callers.any_with_calls() {
+            self.without_callers_since = None;
+            return true;
+        }
+        let since = *self.without_callers_since.get_or_insert_with(|| {
+            self.timers.set(self.now + FIRST_CALL_MS, Due::CallersLeft);
+            self.now
+        });
+        self.callers.any() && self.now - since < FIRST_CALL_MS
     }
 
     /// Ends the program once all is answered and callers' connections are closed. What lies unread there, or waits to
-    /// be accepted, is answered first: the program may have stood still while it came. With a successor a connection
-    /// may still bring something for a while, and is waited for.
+    /// be accepted, is answered first: the program may have stood still while it came. The connections to call servers
+    /// are closed before: what they tell once no caller is left here is for the next process.
     fn exit_if_done(&mut self, out: &mut Vec<Effect>) {
         if self.exiting || !self.all_answered() {
             return;
         }
-        if self.leaving_since.is_none() && !self.successor {
-            self.leaving_since = Some(self.now);
-            out.push(Effect::StopListening);
-            self.leave_servers(out);
-            self.close_idle(out);
-            self.timers.set(self.now + LAST_LOOK_MS, Due::LastLook);
+        if self.leaving_since.is_none() {
+            if !self.serves_callers() {
+                self.leave(out);
+            }
             // Whoever waited to be accepted is heard before the end.
             return;
         }
@@ -386,4 +412,12 @@
             out.push(Effect::Exit);
         }
     }
+
+    fn leave(&mut self, out: &mut Vec<Effect>) {
+        self.leaving_since = Some(self.now);
+        out.push(Effect::StopListening);
+        self.leave_servers(out);
+        self.close_idle(out);
+        self.timers.set(self.now + LAST_LOOK_MS, Due::LastLook);
+    }
 }
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -1,6 +1,7 @@
 //! Performs the reducer's effects: one queue of events in, one clock, one loop.
 
 use super::listeners::{self, Heirs};
+use super::presence::{self, PREDECESSOR_POLL, Presence};
 use super::signals::Signals;
 use super::{WRITE_QUEUE, callers, control, names, operators, peers, servers};
 use crate::audit::{AuditSettings, Writer};
@@ -97,6 +98,10 @@
     tokio::task::spawn_local(names::poll(at, config.seed, sender, driver.bad_input.clone()));
     let listening = listener.local_addr().map_err(|e| format!("listening: {e}"))?;
     let heirs = Heirs::join(listening);
+    let (presence, mut predecessors) = presence::join(listening);
+    driver.presence = presence;
+    let mut looks_at_predecessors = interval(PREDECESSOR_POLL);
+    looks_at_predecessors.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let (asks, mut questions) = mpsc::channel(OPERATOR_QUEUE);
     if let Some(at) = config.management {
         let listener = bound(at)?;
@@ -135,6 +140,11 @@
             }
             _ = stops.recv() => driver.stop(&mut listener, &mut text_listener, &heirs),
             _ = interrupts.recv() => driver.stop(&mut listener, &mut text_listener, &heirs),
+            _ = looks_at_predecessors.tick(), if predecessors.any() => {
+                for _ in 0..predecessors.take_gone() {
+                    driver.step(Event::PredecessorGone);
+                }
+            }
             () = sleep(Duration::from_secs_f64(wait / 1000.0)) => driver.step(Event::Tick),
         }
         if driver.stops_listening {
@@ -207,6 +217,8 @@
     asked: u64,
     tasks: JoinSet<()>,
     effects: Vec<Effect>,
+    /// Shows the processes that start later at this address that call servers may tell this one of calls.
+    presence: Option<Presence>,
     /// No further connection is to be taken.
     stops_listening: bool,
     exiting: bool,
@@ -316,6 +328,7 @@
             asked: 0,
             tasks: JoinSet::new(),
             effects: Vec::new(),
+            presence: None,
             stops_listening: false,
             exiting: false,
             fronts,
@@ -448,6 +461,7 @@
                 self.callers.remove(&conn);
             }
             Effect::StopListening => self.stops_listening = true,
+            Effect::ServersLeft => self.presence = None,
             Effect::Dial { conn, addr, timeout_ms } => {
                 let (handle, orders) = servers::queue(WRITE_QUEUE);
                 self.servers.insert(conn, handle);
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -9,6 +9,7 @@
 pub mod names;
 pub mod operators;
 pub mod peers;
+pub mod presence;
 pub mod servers;
 pub mod signals;
 pub mod startup;
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -198,7 +198,15 @@
     events: mpsc::Sender<Event>,
     bad_input: RateLimitedLog,
 ) {
-    let how = match timeout(dial_timeout, TcpStream::connect(addr)).await {
+    let dialled = tokio::select! {
+        dialled = timeout(dial_timeout, TcpStream::connect(addr)) => dialled,
+        // Opened all the same, it would be told of ends that nobody hears here.
+        () = orders.closed.cancelled() => {
+            let _ = events.send(Event::ServerLost { conn, how: Lost::Closed }).await;
+            return;
+        }
+    };
+    let how = match dialled {
         Ok(Ok(stream)) => {
             if let Err(e) = stream.set_nodelay(true) {
                 log::debug!("call server {addr}: {e}");
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -3,6 +3,7 @@
 mod bad_input;
 mod crossings;
 mod descriptors;
+mod hand_over;
 mod planned_stop;
 mod readiness;
 mod rig;
