Go on hearing the name service while configurations come in quick succession

The socket is kept now while the address is the same.

Test: a_drain_is_heard_while_configurations_come_in_quick_succession failed before (the set-up went to the draining server) and passes.

--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -416,7 +416,7 @@
             log::warn!("other peers need a restart");
         }
         self.callers_max = new.host.callers_max;
-        // Also if it is the same address: the socket is a new one then, and asks at once.
+        // Also if it is the same address: it is asked at once then.
         self.names.send_replace(new.names);
         self.step(Event::Settings { settings: new.settings, host: new.host });
     }
--- a/src/net/names.rs
+++ b/src/net/names.rs
@@ -62,7 +62,16 @@
     let mut buffer = vec![0; ANSWER_MAX];
     loop {
         tokio::select! {
-            changed = server.changed() => return Ok(changed.is_ok()),
+            changed = server.changed() => {
+                if changed.is_err() {
+                    return Ok(false);
+                }
+                if *server.borrow_and_update() != addr {
+                    return Ok(true);
+                }
+                // It is asked at once, and what it was asked before may still be answered.
+                ticks.reset_immediately();
+            }
             _ = ticks.tick() => {
                 let id = rng.u16(..);
                 asked.push_back(id);
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -435,6 +435,27 @@
     assert!(sent.elapsed() < CALLED_OFF_AFTER, "it was at the one that drains first: {:?}", sent.elapsed());
 }
 
+/// Guards against a drain that is not heard while configurations come sooner after each other than the name service answers:
+/// each reload forgot what it had been asked.
+#[test]
+fn a_drain_is_heard_while_configurations_come_in_quick_succession() {
+    const ANSWERED_AFTER: Duration = Duration::from_millis(400);
+    const RELOADED_EVERY: Duration = Duration::from_millis(100);
+    let (a, b, program, names, mut la, mut lb, mut caller) = two();
+    {
+        let mut state = names.state.lock().unwrap();
+        state.list = vec![Listed { draining: true, ..a.listed.clone() }, b.listed.clone()];
+        (state.serial, state.delay) = (2, ANSWERED_AFTER);
+    }
+    for _ in 0..15 {
+        program.reload(&program.file());
+        std::thread::sleep(RELOADED_EVERY);
+    }
+    caller.set_up(8, 0, 9000);
+    lb.expect("new", 8);
+    assert_eq!(la.try_hear(Duration::from_millis(1)), None, "it was at the one that drains first");
+}
+
 /// Queries and answers are lost, one can't be read, and the answer is as long as they come: a drain is heard in
 /// time all the same, and an answer that comes late changes nothing.
 #[test]
