Keep a caller's connection when over 1,024 of its calls are cut at once

The queue of a caller's connection holds 65,536 messages now, that to a call server 8,192 (the 4,096 releases kept for one that has no connection overflowed it in the same way). What can't be queued any more is told to the reducer with the end of the connection, as what was queued and not written is, and goes out on another.

Test: a_caller_hears_of_all_its_calls_that_are_cut_at_once failed before (its connection was closed).

--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -3,7 +3,7 @@
 use super::listeners::{self, Heirs};
 use super::presence::{self, PREDECESSOR_POLL, Presence};
 use super::signals::Signals;
-use super::{WRITE_QUEUE, callers, control, names, operators, peers, servers};
+use super::{CALLER_QUEUE, SERVER_QUEUE, callers, control, names, operators, peers, servers};
 use crate::audit::{AuditSettings, Writer};
 use crate::clock::{Clock, PULSE};
 use crate::codec::h248::{callers::CallerCodec, servers::ServerCodec};
@@ -12,7 +12,7 @@
 use crate::control::{ControlSettings, Place};
 use crate::engine::{
     CallerConn, Effect, Engine, Event, FromServer, OperatorAnswer, OperatorAsk, OperatorConn, PeerReport,
-    ServerConn, Standing,
+    ServerConn, Standing, ToCaller,
 };
 use crate::fronts::Fronts;
 use crate::limits::{LimitSettings, Limits};
@@ -26,6 +26,7 @@
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc::error::TrySendError;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::{AbortHandle, JoinSet};
 use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
@@ -205,6 +206,8 @@
     /// Where the name service is.
     names: watch::Sender<SocketAddr>,
     callers: HashMap<CallerConn, mpsc::Sender<callers::Order>>,
+    /// What connections whose end the reducer has not heard of could not take any more.
+    unqueued: HashMap<CallerConn, Vec<ToCaller>>,
     callers_max: usize,
     /// Callers' connections whose task still holds a descriptor.
     callers_held: usize,
@@ -319,6 +322,7 @@
             events,
             names,
             callers: HashMap::new(),
+            unqueued: HashMap::new(),
             callers_max: config.host.callers_max,
             callers_held: 0,
             accept_from: Instant::now(),
@@ -421,10 +425,11 @@
         self.step(Event::Settings { settings: new.settings, host: new.host });
     }
 
-    fn step(&mut self, event: Event) {
-        let ended = match &event {
-            Event::CallerClosed { conn, .. } => {
+    fn step(&mut self, mut event: Event) {
+        let ended = match &mut event {
+            Event::CallerClosed { conn, unsent } => {
                 self.callers.remove(conn);
+                unsent.extend(self.unqueued.remove(conn).unwrap_or_default());
                 self.callers_held -= 1;
                 true
             }
@@ -463,7 +468,7 @@
             Effect::StopListening => self.stops_listening = true,
             Effect::ServersLeft => self.presence = None,
             Effect::Dial { conn, addr, timeout_ms } => {
-                let (handle, orders) = servers::queue(WRITE_QUEUE);
+                let (handle, orders) = servers::queue(SERVER_QUEUE);
                 self.servers.insert(conn, handle);
                 let timeout = Duration::from_secs_f64(timeout_ms.clamp(1.0, 60_000.0) / 1000.0);
                 let (events, bad_input) = (self.events.clone(), self.bad_input.clone());
@@ -519,11 +524,16 @@
         }
     }
 
+    /// A peer that takes nothing is given up: its task tells the reducer, with what could not be queued.
     fn order(&mut self, conn: CallerConn, order: callers::Order) {
-        let full = self.callers.get(&conn).is_some_and(|queue| queue.try_send(order).is_err());
-        if full {
-            // A peer that takes nothing is given up; its task tells the reducer.
-            self.callers.remove(&conn);
+        let queued = match self.callers.get(&conn) {
+            Some(queue) => queue.try_send(order),
+            None => Err(TrySendError::Closed(order)),
+        };
+        let Err(TrySendError::Full(order) | TrySendError::Closed(order)) = queued else { return };
+        self.callers.remove(&conn);
+        if let callers::Order::Write(message) = order {
+            self.unqueued.entry(conn).or_default().push(message);
         }
     }
 
@@ -602,7 +612,7 @@
         self.accepted += 1;
         self.callers_held += 1;
         let conn = CallerConn(self.accepted);
-        let (queue, messages) = mpsc::channel(WRITE_QUEUE);
+        let (queue, messages) = mpsc::channel(CALLER_QUEUE);
         self.callers.insert(conn, queue);
         let (events, clock) = (self.events.clone(), self.clock.clone());
         let bad_input = self.bad_input.clone();
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -62,5 +62,9 @@
     }
 }
 
-/// Messages that may wait to be written on one connection.
-const WRITE_QUEUE: usize = 1024;
+/// Messages that may wait to be written on one connection to a call server: the releases that waited for it, 4,096 at most,
+/// go out at once.
+const SERVER_QUEUE: usize = 8192;
+/// Messages that may wait to be written on one caller's connection: all its calls may be cut at once. The long ones among
+/// them, answers, are bounded by the set-ups that it may have open.
+const CALLER_QUEUE: usize = 65_536;
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -456,6 +456,27 @@
     assert_eq!(la.try_hear(Duration::from_millis(1)), None, "it was at the one that drains first");
 }
 
+/// Guards against a caller that loses its connection, and with it set-ups and releases, as more of its calls are cut at once
+/// than the connection's queue held.
+#[test]
+fn a_caller_hears_of_all_its_calls_that_are_cut_at_once() {
+    const CALLS: u64 = 1200;
+    let (a, b, _program, names, la, lb, mut caller) = two();
+    for (server, link) in [(a, la), (b, lb)] {
+        std::thread::spawn(move || link.answer_all());
+        server.answer_all();
+    }
+    for call in 1..=CALLS {
+        caller.set_up(call, 0, 9000);
+        caller.expect(9, call, None);
+    }
+    names.change(Vec::new(), |_| ());
+    let mut cut: Vec<u64> = (0..CALLS).map(|_| caller.hear().expect("an open connection").1).collect();
+    cut.sort_unstable();
+    assert_eq!(cut, (1..=CALLS).collect::<Vec<_>>());
+    caller.test();
+}
+
 /// Queries and answers are lost, one can't be read, and the answer is as long as they come: a drain is heard in
 /// time all the same, and an answer that comes late changes nothing.
 #[test]
