Release in time what stood at a server that vanished and is back within 7 s

Its first word on a new connection ended the suspicion, though new connections say nothing of the calls that stood at the process before.

A server that could not be reached (two dials in a row that did not come up, or looks without a word for 2 s) and speaks again is noted as returned. Its process is the same only if it speaks on a connection from before; one without a set-up is kept for that when the others are closed 4 s after the last word, and carries nothing. 7.5 s after the last word before the outage its calls are else cut, and released at the server as well.

--- a/src/engine/answers.rs
+++ b/src/engine/answers.rs
@@ -1,6 +1,6 @@
 //! What call servers say of calls: answers, and the ends of calls that stood or never did.
 
-use super::calls::{Attempt, Call, Stage, Standing};
+use super::calls::{Attempt, Stage, Standing};
 use super::release_delivery::{EndOfCall, EndSource};
 use super::{CallerConn, Effect, Ending, Engine, Release, ServerConn, ToCaller, ToServer};
 use crate::audit::Decision;
@@ -141,8 +141,7 @@
 
     /// The call server's process is gone, and what stood there before with it.
     pub(super) fn cut(&mut self, server: ServerId, before: f64, out: &mut Vec<Effect>) {
-        let stood = |c: &Call| c.standing.as_ref().is_some_and(|s| s.server == server && s.since < before);
-        let cut = self.calls.ids(stood);
+        let cut = self.calls.standing_at_before(server, before);
         if !cut.is_empty() {
             log::info!("{} calls cut at {}", cut.len(), self.fleet.name(server));
         }
--- a/src/engine/calls.rs
+++ b/src/engine/calls.rs
@@ -145,6 +145,11 @@
         self.live.values().any(|c| c.standing.as_ref().is_some_and(|s| s.server == server))
     }
 
+    /// The calls that have stood at this call server since before this time.
+    pub fn standing_at_before(&self, server: ServerId, before: f64) -> Vec<CallId> {
+        self.ids(|c| c.standing.as_ref().is_some_and(|s| s.server == server && s.since < before))
+    }
+
     /// Set-ups out at this call server, or waiting for a connection to it.
     pub fn out_at(&self, server: ServerId) -> usize {
         let out = |c: &&Call| c.attempt.as_ref().is_some_and(|a| a.server == server);
--- a/src/engine/fleet.rs
+++ b/src/engine/fleet.rs
@@ -69,10 +69,28 @@
     pub(super) told_at: f64,
     /// It had this turn among the set-ups.
     pub(super) turn: u64,
+    /// It is kept from before an outage to show whether the server's process lives on; nothing is sent on it.
+    pub(super) witness: bool,
     /// A set-up on it was turned away unlooked at: the call server has no room for one more connection.
     pub(super) turned_away: bool,
 }
 
+impl Conn {
+    /// Whether messages may be sent on it.
+    fn carries(&self) -> bool {
+        self.open && !self.witness
+    }
+}
+
+/// A call server that could not be reached speaks again, so far on new connections alone.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Return {
+    /// Its last word before the outage.
+    pub(super) last_word_at: f64,
+    /// Its first word after it.
+    pub(super) at: f64,
+}
+
 pub(super) struct Server {
     pub(super) listing: Listing,
     /// The state that the module was told.
@@ -96,6 +114,8 @@
     pub(super) waits_since: Option<f64>,
     /// A look first found it silent, with work of ours, then.
     pub(super) suspected_at: Option<f64>,
+    /// It came back from an outage, and it is open whether as the same process.
+    pub(super) returned: Option<Return>,
     pub(super) dialled_at: f64,
     /// A connection dialled since then is wanted: what was told on others before may have reached nobody, and comes again
     /// on the next that opens.
@@ -135,7 +155,7 @@
     /// It could not be reached when last dialled, or cut the connection before a word, and no connection has said
     /// anything since.
     pub fn is_down(&self, server: ServerId) -> bool {
-        let heard = |s: &Server| s.conns.iter().any(|c| c.open && c.heard);
+        let heard = |s: &Server| s.conns.iter().any(|c| c.carries() && c.heard);
         self.servers.get(&server).is_some_and(|s| (s.failed > 0 || s.cut_short) && !heard(s))
     }
 
@@ -162,13 +182,13 @@
 
     /// The open connection on which something was heard last.
     pub(super) fn best(&self, server: ServerId) -> Option<ServerConn> {
-        let open = self.servers.get(&server)?.conns.iter().filter(|c| c.open);
+        let open = self.servers.get(&server)?.conns.iter().filter(|c| c.carries());
         open.max_by(|a, b| a.heard.cmp(&b.heard).then(a.heard_at.total_cmp(&b.heard_at))).map(|c| c.id)
     }
 
     pub(super) fn is_open(&self, conn: ServerConn) -> bool {
         let server = self.by_conn.get(&conn).and_then(|id| self.servers.get(id));
-        server.is_some_and(|s| s.conns.iter().any(|c| c.id == conn && c.open))
+        server.is_some_and(|s| s.conns.iter().any(|c| c.id == conn && c.carries()))
     }
 }
 
@@ -239,6 +259,7 @@
                 crowded_ms: 0.0,
                 waits_since: None,
                 suspected_at: None,
+                returned: None,
                 dialled_at: now,
                 wants_dial_since: None,
                 redial_at: None,
@@ -252,6 +273,7 @@
             (server.listing.addr, server.listing.state, server.listing.started_at);
         if let Some(at) = started_at.filter(|_| started_at != old.started_at) {
             // Another process: what stood at the one before was cut with it.
+            server.returned = None;
             self.cut(id, at, out);
             // One that was down is looked for soon, not at its turn in the fleet's pacing.
             let down = self.fleet.servers.get(&id).is_some_and(|s| s.conns.is_empty());
@@ -315,6 +337,7 @@
             passed,
             told_at: passed,
             turn: 0,
+            witness: false,
             turned_away: false,
         };
         log::debug!("connection {} to {}: dialled", conn.0, s.listing.name);
@@ -386,7 +409,7 @@
         let was_open = self.fleet.is_open(conn);
         let Some((server, lived_ms)) = self.drop_conn(conn) else { return };
         let Some(s) = self.fleet.servers.get_mut(&server) else { return };
-        let alone = s.conns.is_empty();
+        let alone = s.conns.iter().all(|c| c.witness);
         // A server that is down is dialled several times a second: only the first failure is worth a line.
         let level = if was_open || s.failed == 0 { log::Level::Info } else { log::Level::Debug };
         log::log!(
@@ -399,7 +422,10 @@
         match how {
             // Nothing listens: the process is dead, and what stood there was cut with it. With a connection open
             // it only takes no more of them.
-            Lost::Refused if alone => self.cut(server, f64::INFINITY, out),
+            Lost::Refused if alone => {
+                self.cut(server, f64::INFINITY, out);
+                self.close_all(server, CloseReason::Vanished, out);
+            }
             // A reset tells of this connection alone: a call server in good health resets it after what it could
             // not read, and so may the way there. If the process died, the dial that follows is refused.
             Lost::Refused | Lost::TimedOut | Lost::Reset | Lost::Closed => {}
@@ -497,11 +523,13 @@
         };
         let now = self.now;
         log::trace!("{} on connection {}: {message:?}", self.fleet.name(server), conn.0);
+        self.note_return(server, conn);
         if let Some(s) = self.fleet.servers.get_mut(&server) {
             (s.heard_at, s.tried, s.failed, s.cut_short) = (now, true, 0, false);
             (s.waits_since, s.suspected_at) = (None, None);
             for c in s.conns.iter_mut().filter(|c| c.id == conn) {
                 (c.heard_first, c.heard, c.heard_at) = (!c.heard, true, now);
+                c.witness = false;
             }
         }
         self.site_heard(server);
--- a/src/engine/liveness.rs
+++ b/src/engine/liveness.rs
@@ -1,6 +1,6 @@
 //! Which connections to call servers still carry anything, and which call servers live.
 
-use super::fleet::{CONNS_MAX, CloseReason, Conn, Server};
+use super::fleet::{CONNS_MAX, CloseReason, Conn, Return, Server};
 use super::{Effect, Engine, ServerConn};
 use crate::interface::{Listed, ServerId};
 
@@ -14,6 +14,11 @@
 /// say nothing while they still stand. With the look's interval that stays under the 8 s in which callers must
 /// hear of an end that nobody told.
 const CUT_MS: f64 = 7000.0;
+/// One that could not be reached and came back sooner, but has said nothing on the connections from before, is taken for
+/// another process so long after its last word before, ms: the list may tell of its start too late for the 8 s.
+const RETURNED_CUT_MS: f64 = 7500.0;
+/// So many dials that did not come up in a row are no chance: single ones never come up also to servers that live.
+const UNREACHABLE_DIALS: u32 = 2;
 /// Looks at a suspect that brought no word for so long show as much as a connection that did not come up, ms. However
 /// they went, its calls are then cut in time.
 const FRUITLESS_MS: f64 = 2000.0;
@@ -85,28 +90,79 @@
     /// A machine that vanished says nothing and keeps its connections open: it shows only in that no new one
     /// comes up. One that lives tells its state first of all on a new one.
     fn look_at(&mut self, server: ServerId, out: &mut Vec<Effect>) {
+        self.look_at_return(server, out);
         let Some(silent_ms) = self.suspicious_silence(server) else {
             return self.close_quiet(server, out);
         };
         let Some(s) = self.fleet.servers.get(&server) else { return };
         let unreachable = self.is_unreachable(s);
-        let open = s.conns.iter().any(|c| c.open);
+        let open = s.conns.iter().any(|c| c.open && !c.witness);
         if silent_ms >= CUT_MS && unreachable {
             // Once given up, it is only dialled again and again: no more than that is to be closed.
-            if open || self.calls.any_standing_at(server) {
+            if s.conns.iter().any(|c| c.open) || self.calls.any_standing_at(server) {
                 log::warn!("{} has vanished: silent for {silent_ms:.0} ms", s.listing.name);
                 self.cut(server, f64::INFINITY, out);
                 self.close_all(server, CloseReason::Vanished, out);
                 self.redial(server, out);
             }
         } else if silent_ms >= UNHEARD_MS && unreachable && open && s.listing.state == Listed::Ready {
-            self.close_all(server, CloseReason::Unreachable, out);
+            self.close_unreachable(server, out);
             self.redial(server, out);
         } else if !s.is_looked_at() {
             self.dial_to_look(server, CONNS_MAX, out);
         }
     }
 
+    /// Closes the connections to a server that can't be reached, but for one from before the outage without a set-up on it:
+    /// should the process live on, it speaks there again.
+    fn close_unreachable(&mut self, server: ServerId, out: &mut Vec<Effect>) {
+        let Some(s) = self.fleet.servers.get_mut(&server) else { return };
+        let idle = |c: &&mut Conn| c.open && c.heard && !self.calls.any_on(c.id);
+        let witness = s.conns.iter_mut().filter(idle).max_by(|a, b| a.heard_at.total_cmp(&b.heard_at));
+        if let Some(witness) = witness {
+            witness.witness = true;
+        }
+        for conn in s.conns.iter().filter(|c| !c.witness).map(|c| c.id).collect::<Vec<_>>() {
+            self.close(conn, CloseReason::Unreachable, out);
+        }
+    }
+
+    /// A call server is heard: whether that ends an outage, and whether its process is known to be the same. To be called
+    /// before its word is noted.
+    pub(super) fn note_return(&mut self, server: ServerId, conn: ServerConn) {
+        let now = self.now;
+        let Some(s) = self.fleet.servers.get_mut(&server) else { return };
+        let last_word_at = s.returned.map_or(s.heard_at, |r| r.last_word_at);
+        if s.conns.iter().any(|c| c.id == conn && c.heard && c.opened_at <= last_word_at) {
+            s.returned = None;
+            return;
+        }
+        let suspected_ms = s.suspected_at.map_or(0.0, |at| now - at);
+        let unreachable = s.failed >= UNREACHABLE_DIALS || suspected_ms >= FRUITLESS_MS;
+        if s.returned.is_none() && s.suspected_at.is_some() && unreachable {
+            log::info!("{} is back after {:.0} ms", s.listing.name, now - last_word_at);
+            s.returned = Some(Return { last_word_at, at: now });
+        }
+    }
+
+    /// A call server that came back has said nothing on a connection from before for so long that what stood there counts as
+    /// cut. Should the process live after all, its calls are released there too.
+    fn look_at_return(&mut self, server: ServerId, out: &mut Vec<Effect>) {
+        let Some(s) = self.fleet.servers.get_mut(&server) else { return };
+        let due = |r: &Return| self.now - r.last_word_at >= RETURNED_CUT_MS;
+        let Some(Return { at, last_word_at }) = s.returned.take_if(|r| due(r)) else { return };
+        let old: Vec<ServerConn> =
+            s.conns.iter().filter(|c| c.opened_at <= last_word_at).map(|c| c.id).collect();
+        log::warn!("{} is back, but silent on its connections from before", s.listing.name);
+        for call in self.calls.standing_at_before(server, at) {
+            self.release_at(server, None, call, out);
+        }
+        self.cut(server, at, out);
+        for conn in old {
+            self.close(conn, CloseReason::Vanished, out);
+        }
+    }
+
     /// For how long a call server has been silent, ms, if that makes it suspect: it has work of ours then.
     fn suspicious_silence(&mut self, server: ServerId) -> Option<f64> {
         let has_work = self.calls.any_at(server);
@@ -141,7 +197,8 @@
         if self.now - s.heard_at >= SILENT_MS || s.conns.len() < CONNS_MAX - 1 {
             return;
         }
-        let oldest = s.conns.iter().filter(|c| c.open).min_by(|a, b| a.heard_at.total_cmp(&b.heard_at));
+        let oldest =
+            s.conns.iter().filter(|c| c.open && !c.witness).min_by(|a, b| a.heard_at.total_cmp(&b.heard_at));
         let stale = oldest.filter(|c| self.now - c.heard_at >= UNHEARD_MS);
         if let Some(conn) = stale.map(|c| c.id).filter(|&conn| !self.calls.any_on(conn)) {
             self.close(conn, CloseReason::Quiet, out);
@@ -218,7 +275,8 @@
     /// The connection for the next set-up: those on which something was heard take turns. One that is quiet comes last.
     pub(super) fn in_turn(&mut self, server: ServerId) -> Option<ServerConn> {
         let s = self.fleet.servers.get(&server)?;
-        let sound = s.conns.iter().filter(|c| c.open && c.heard && !c.turned_away && !self.quiet(c));
+        let sound =
+            s.conns.iter().filter(|c| c.open && !c.witness && c.heard && !c.turned_away && !self.quiet(c));
         let conn = sound.min_by_key(|c| c.turn).map(|c| c.id).or_else(|| self.fleet.best(server))?;
         let (now, s) = (self.now, self.fleet.servers.get_mut(&server)?);
         let last = s.conns.iter().map(|c| c.turn).max().unwrap_or(0);
--- a/tests/process/vanished.rs
+++ b/tests/process/vanished.rs
@@ -2,6 +2,7 @@
 
 use crate::rig::*;
 use crate::{stand, two};
+use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
 /// A call server has at most so many connections from one border controller.
@@ -35,6 +36,57 @@
     lb.expect("new", 8);
 }
 
+/// Lets no new connection to this server come up, until what is returned is given back to `let_in`.
+fn shut_out(server: &Server) -> Vec<TcpStream> {
+    const CONNECTED_WITHIN: Duration = Duration::from_millis(200);
+    socket2::SockRef::from(&server.listener).listen(0).unwrap();
+    let connect = || TcpStream::connect_timeout(&server.listed.addr, CONNECTED_WITHIN);
+    std::iter::from_fn(|| connect().ok()).collect()
+}
+
+fn let_in(server: &Server, waiting: Vec<TcpStream>) {
+    socket2::SockRef::from(&server.listener).listen(128).unwrap();
+    for _ in &waiting {
+        server.accept_mute();
+    }
+}
+
+/// The server is shut out for so long and then speaks on new connections.
+fn away_for(server: &Server, outage: Duration) -> Link {
+    let began = Instant::now();
+    let waiting = shut_out(server);
+    std::thread::sleep(outage.saturating_sub(began.elapsed()));
+    let_in(server, waiting);
+    server.accept()
+}
+
+/// Guards against calls at a server that vanishes and is back as another process before it is given up: its word on a new
+/// connection ended the suspicion, and its calls were released only once the list told of the start.
+#[test]
+fn calls_at_a_vanished_server_that_is_back_soon_are_released_in_time() {
+    let (a, _b, _program, _names, mut la, _lb, mut caller) = two();
+    stand(&mut caller, &mut la, 7);
+    let vanished = Instant::now();
+    let mut back = away_for(&a, Duration::from_millis(5500));
+    caller.expect(12, 7, Some(41));
+    assert!(vanished.elapsed() <= RELEASED_WITHIN, "{:?}", vanished.elapsed());
+    assert_eq!(back.expect("down", 7)["c"], 16, "should it be the same process after all");
+}
+
+/// Guards against calls that are cut at a server which hung: it speaks again on a connection from before.
+#[test]
+fn calls_at_a_server_that_hung_and_goes_on_stay() {
+    let (a, _b, _program, _names, mut la, _lb, mut caller) = two();
+    stand(&mut caller, &mut la, 7);
+    let hung = Instant::now();
+    let _back = away_for(&a, Duration::from_millis(5500));
+    la.gauge();
+    std::thread::sleep(RELEASED_WITHIN.saturating_sub(hung.elapsed()));
+    caller.test();
+    la.down(7, 16, serde_json::json!({}));
+    caller.expect(12, 7, Some(16));
+}
+
 /// Guards against a returned server being given connections that nobody needs: each dial that was refused during the
 /// outage left a redial of its own behind, and all of them were made once it was back.
 #[test]
