Leave the ends that found no caller to the process that takes over

The old process writes such ends to its presence's file before it is unlocked, and ends only once its connections to the call servers have been read out; the new one passes them on as it notices. A call server that tells such an end again hears of its delivery.

Tests: an_end_told_to_a_process_that_leaves_in_a_hand_over_reaches_its_caller asks now that the end comes without its call server saying it again (it did say it before); an_end_lost_on_its_way_... plays the other way.

--- a/src/engine/answers.rs
+++ b/src/engine/answers.rs
@@ -64,7 +64,8 @@
         out: &mut Vec<Effect>,
     ) {
         let Some(call) = self.calls.live.get_mut(&id) else {
-            let pending = self.callers.releases.is_pending(id);
+            let source = EndSource { server, conn };
+            let pending = self.callers.releases.note_source(id, source);
             if how == Ending::Normal && !pending && self.calls.ended.hear_end(id) {
                 // Its answer went astray, and its caller was told otherwise: the call server need not say it again.
                 out.push(Effect::ToServer { conn, message: ToServer::Heard(id), confirm: false });
@@ -73,7 +74,7 @@
             if !self.calls.ended.all.contains(&id) && matches!(how, Ending::Normal | Ending::Reset) {
                 self.calls.ended.add(id);
                 let how = if how == Ending::Normal { Release::Completed } else { Release::Cut };
-                let end = EndOfCall { call: id, how, source: Some(EndSource { server, conn }) };
+                let end = EndOfCall { call: id, how, source: Some(source) };
                 self.release_to_caller(CallerConn(0), end, out);
             }
             return;
--- a/src/engine/calls.rs
+++ b/src/engine/calls.rs
@@ -67,8 +67,10 @@
 }
 
 impl Ended {
-    pub(super) fn add(&mut self, call: CallId) {
-        if self.all.insert(call) {
+    /// False: it was remembered already.
+    pub(super) fn add(&mut self, call: CallId) -> bool {
+        let new = self.all.insert(call);
+        if new {
             self.oldest_first.push_back(call);
             self.unheard.insert(call);
         }
@@ -78,6 +80,7 @@
             self.all.remove(&oldest);
             self.unheard.remove(&oldest);
         }
+        new
     }
 
     /// A call server is told that the end of this call is heard: true the first time.
--- a/src/engine/fleet.rs
+++ b/src/engine/fleet.rs
@@ -1,6 +1,9 @@
 //! The call servers: the name service's list, the connections to each, and whether it lives.
 
-use super::{Due, Effect, Engine, FromServer, Listing, Lost, ServerConn, ToServer};
+use super::release_delivery::EndOfCall;
+use super::{
+    CallerConn, Due, Effect, Engine, FromServer, Listing, Lost, ServerConn, ToServer, UndeliveredEnd,
+};
 use crate::interface::{self as module, CallId, Listed, Outcome, ServerEntry, ServerId};
 use std::collections::{BTreeMap, HashMap};
 use std::fmt;
@@ -186,6 +189,11 @@
         open.max_by(|a, b| a.heard.cmp(&b.heard).then(a.heard_at.total_cmp(&b.heard_at))).map(|c| c.id)
     }
 
+    /// Whether something may still come on a connection that was closed from here.
+    pub(super) fn any_closing(&self) -> bool {
+        !self.closing.is_empty()
+    }
+
     pub(super) fn is_open(&self, conn: ServerConn) -> bool {
         let server = self.by_conn.get(&conn).and_then(|id| self.servers.get(id));
         server.is_some_and(|s| s.conns.iter().any(|c| c.id == conn && c.carries()))
@@ -490,16 +498,23 @@
     /// Once the program leaves and the last connection to a call server has been read out.
     fn tell_servers_left(&self, out: &mut Vec<Effect>) {
         if self.leaving_since.is_some() && self.fleet.closing.is_empty() {
-            out.push(Effect::ServersLeft);
+            out.push(Effect::ServersLeft(self.callers.releases.undelivered()));
         }
     }
 
     /// The process that served here before can be told of nothing any more. What call servers told it last may have
-    /// reached no caller: they tell it again on the next connection that opens.
-    pub(super) fn predecessor_gone(&mut self, out: &mut Vec<Effect>) {
+    /// reached no caller: it left what it had heard, and call servers tell the rest on the next connection that opens.
+    pub(super) fn predecessor_gone(&mut self, undelivered: Vec<UndeliveredEnd>, out: &mut Vec<Effect>) {
         log::info!(
-            "a process that served at this address has left its call servers: each is dialled once more"
+            "a process that served at this address has left its call servers, and {} ends of calls: each server is \
+             dialled once more",
+            undelivered.len()
         );
+        for UndeliveredEnd { call, how } in undelivered {
+            if !self.calls.live.contains_key(&call) && self.calls.ended.add(call) {
+                self.release_to_caller(CallerConn(0), EndOfCall { call, how, source: None }, out);
+            }
+        }
         for server in self.fleet.servers.keys().copied().collect::<Vec<_>>() {
             if let Some(s) = self.fleet.servers.get_mut(&server) {
                 s.wants_dial_since = Some(self.now);
--- a/src/engine/messages.rs
+++ b/src/engine/messages.rs
@@ -304,6 +304,13 @@
     TimedOut,
 }
 
+/// The end of a call that has not reached its caller, as one process leaves it to another.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct UndeliveredEnd {
+    pub call: CallId,
+    pub how: Release,
+}
+
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
     CallerOpened(CallerConn),
@@ -339,8 +346,8 @@
         serial: u32,
         servers: Vec<Listing>,
     },
-    /// A process that served at this address before this one can be told of nothing any more.
-    PredecessorGone,
+    /// A process that served at this address before this one can be told of nothing any more, and has left these ends.
+    PredecessorGone(Vec<UndeliveredEnd>),
     /// A timer may be due.
     Tick,
     /// A border controller, by its place among them, tells what it heard of a call server.
@@ -393,8 +400,8 @@
         confirm: bool,
     },
     CloseServer(ServerConn),
-    /// Call servers can tell this process of nothing any more.
-    ServersLeft,
+    /// Call servers can tell this process of nothing any more, and these ends have reached no caller.
+    ServersLeft(Vec<UndeliveredEnd>),
     /// To every other border controller; it may be lost.
     ToPeers(PeerReport),
     /// To be written to the audit log before any effect beside it is carried out.
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -237,7 +237,7 @@
             Event::ServerLost { conn, how } => self.server_lost(conn, how, out),
             Event::List { serial, servers } => self.follow_list(serial, servers, out),
             Event::Settings { settings, host } => self.follow_settings(settings, host),
-            Event::PredecessorGone => self.predecessor_gone(out),
+            Event::PredecessorGone(undelivered) => self.predecessor_gone(undelivered, out),
             Event::Tick => {}
             Event::Peer { from, told } => self.hear_peer(from, told),
             Event::Operator { conn, ask } => self.hear_operator(conn, ask, out),
@@ -399,7 +399,7 @@
             return;
         }
         let late = self.leaving_since.is_some_and(|at| self.now - at >= LEAVES_IN_MS);
-        if late || !self.callers.any() {
+        if late || !(self.callers.any() || self.fleet.any_closing()) {
             log::info!(
                 "ending: {} callers' connections left, {} calls stand, {} releases found no caller, {} may have \
                  crossed a close",
--- a/src/engine/release_delivery.rs
+++ b/src/engine/release_delivery.rs
@@ -4,7 +4,7 @@
 //! that opens. So it is told so only once the end has reached a caller: a process that ends before leaves the end to the
 //! next one.
 
-use super::{CallerConn, Effect, Engine, Release, ServerConn, ToCaller, ToServer};
+use super::{CallerConn, Effect, Engine, Release, ServerConn, ToCaller, ToServer, UndeliveredEnd};
 use crate::interface::{CallId, ServerId};
 use std::collections::VecDeque;
 
@@ -71,16 +71,32 @@
         self.owed.len()
     }
 
+    /// The ends of calls that no caller was there for.
+    pub(super) fn undelivered(&self) -> Vec<UndeliveredEnd> {
+        let undelivered = |owed: &Owed| UndeliveredEnd { call: owed.end.call, how: owed.end.how };
+        self.owed.iter().map(undelivered).collect()
+    }
+
     /// Releases that went out a moment ago and may still be lost with their connection.
     pub(super) fn in_flight(&self, now: f64) -> usize {
         self.sent.iter().filter(|sent| sent.at >= now - CROSSING_MS).count()
     }
 
     /// Whether the end of this call has not reached a caller for certain.
-    pub(super) fn is_pending(&self, call: CallId) -> bool {
+    fn is_pending(&self, call: CallId) -> bool {
         self.owed.iter().any(|owed| owed.end.call == call) || self.sent.iter().any(|s| s.end.call == call)
     }
 
+    /// A call server tells of the end of this call. True if it is pending already; the server is to hear of its delivery
+    /// then.
+    pub(super) fn note_source(&mut self, call: CallId, source: EndSource) -> bool {
+        let sent = self.sent.iter_mut().map(|sent| &mut sent.end);
+        let mut pending = sent.chain(self.owed.iter_mut().map(|owed| &mut owed.end));
+        let Some(end) = pending.find(|end| end.call == call) else { return false };
+        end.source.get_or_insert(source);
+        true
+    }
+
     /// Takes out what is pending of this call.
     fn take(&mut self, call: CallId) -> Option<EndOfCall> {
         let sent = self.sent.iter().position(|sent| sent.end.call == call);
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -142,8 +142,8 @@
             _ = stops.recv() => driver.stop(&mut listener, &mut text_listener, &heirs),
             _ = interrupts.recv() => driver.stop(&mut listener, &mut text_listener, &heirs),
             _ = looks_at_predecessors.tick(), if predecessors.any() => {
-                for _ in 0..predecessors.take_gone() {
-                    driver.step(Event::PredecessorGone);
+                for undelivered in predecessors.take_gone() {
+                    driver.step(Event::PredecessorGone(undelivered));
                 }
             }
             () = sleep(Duration::from_secs_f64(wait / 1000.0)) => driver.step(Event::Tick),
@@ -466,7 +466,11 @@
                 self.callers.remove(&conn);
             }
             Effect::StopListening => self.stops_listening = true,
-            Effect::ServersLeft => self.presence = None,
+            Effect::ServersLeft(undelivered) => {
+                if let Some(Err(e)) = self.presence.take().map(|presence| presence.leave(&undelivered)) {
+                    log::warn!("{} ends of calls are not left to a successor: {e}", undelivered.len());
+                }
+            }
             Effect::Dial { conn, addr, timeout_ms } => {
                 let (handle, orders) = servers::queue(SERVER_QUEUE);
                 self.servers.insert(conn, handle);
--- a/src/net/presence.rs
+++ b/src/net/presence.rs
@@ -1,8 +1,14 @@
 //! Processes of this program that serve at one address beside each other, as a new version takes over from an old one: each
-//! shows its presence to the ones that start later, which notice when it is gone.
+//! shows its presence to the ones that start later, which notice when it is gone and take up the ends of calls that it could
+//! not pass on.
+//!
+//! A presence is a file that its process keeps locked. Before it is unlocked, the ends are written there, a line each: the
+//! call's id and the cause of its release.
 
+use crate::engine::{Release, UndeliveredEnd};
+use crate::interface::CallId;
 use std::fs::{self, File, TryLockError};
-use std::io;
+use std::io::{self, Read, Write};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -14,10 +20,16 @@
 /// it with the process, however that ends.
 #[derive(Debug)]
 pub struct Presence {
-    _locked: File,
+    locked: File,
     path: PathBuf,
 }
 
+/// Words for how a call ended, in a presence's file.
+const COMPLETED: &str = "completed";
+const CUT: &str = "cut";
+/// A presence's file is read up to this, bytes: more ends than a process keeps.
+const UNDELIVERED_MAX: u64 = 1 << 20;
+
 /// The processes at the same address that were there before this one.
 #[derive(Debug, Default)]
 pub struct Predecessors {
@@ -46,7 +58,7 @@
     locked.try_lock()?;
     let path = folder.join(format!("{prefix}{own}"));
     fs::rename(&unnamed, &path)?;
-    let presence = Presence { _locked: locked, path };
+    let presence = Presence { locked, path };
     let predecessors = predecessors(folder, &prefix, &presence.path)?;
     Ok((Some(presence), predecessors))
 }
@@ -72,6 +84,40 @@
     Ok(Predecessors { locked_by_them })
 }
 
+impl Presence {
+    /// Leaves these ends to the processes that saw this one, and ends its presence.
+    ///
+    /// # Errors
+    /// The ends can't be written; the presence ends all the same.
+    pub fn leave(mut self, undelivered: &[UndeliveredEnd]) -> io::Result<()> {
+        let line = |end: &UndeliveredEnd| {
+            let how = if end.how == Release::Completed { COMPLETED } else { CUT };
+            format!("{:016x} {how}\n", end.call.0)
+        };
+        let lines: String = undelivered.iter().map(line).collect();
+        self.locked.write_all(lines.as_bytes())
+    }
+}
+
+/// The ends in a presence's file; a line that is no such end is passed over.
+fn read_undelivered(file: &File) -> Vec<UndeliveredEnd> {
+    let mut text = String::new();
+    if let Err(e) = file.take(UNDELIVERED_MAX).read_to_string(&mut text) {
+        log::warn!("the ends of calls that a predecessor left can't be read: {e}");
+    }
+    text.lines().filter_map(read_end).collect()
+}
+
+fn read_end(line: &str) -> Option<UndeliveredEnd> {
+    let (call, how) = line.split_once(' ')?;
+    let how = match how {
+        COMPLETED => Release::Completed,
+        CUT => Release::Cut,
+        _ => return None,
+    };
+    Some(UndeliveredEnd { call: CallId(u64::from_str_radix(call, 16).ok()?), how })
+}
+
 impl Drop for Presence {
     fn drop(&mut self) {
         let _ = fs::remove_file(&self.path);
@@ -84,11 +130,10 @@
         !self.locked_by_them.is_empty()
     }
 
-    /// How many have gone since this was last asked.
-    pub fn take_gone(&mut self) -> usize {
-        let before = self.locked_by_them.len();
-        self.locked_by_them.retain(|file| matches!(file.try_lock(), Err(TryLockError::WouldBlock)));
-        before - self.locked_by_them.len()
+    /// For each that has gone since this was last asked, the ends of calls that it left.
+    pub fn take_gone(&mut self) -> Vec<Vec<UndeliveredEnd>> {
+        let is_gone = |file: &mut File| !matches!(file.try_lock(), Err(TryLockError::WouldBlock));
+        self.locked_by_them.extract_if(.., is_gone).map(|file| read_undelivered(&file)).collect()
     }
 }
 
@@ -106,9 +151,13 @@
         let (_second, mut predecessors) = join_in(&folder, at).unwrap();
         let (_elsewhere, others) = join_in(&folder, "127.0.0.1:386".parse().unwrap()).unwrap();
         assert!(predecessors.any() && !others.any());
-        assert_eq!((predecessors.take_gone(), none.take_gone()), (0, 0));
-        drop(first);
-        assert_eq!((predecessors.take_gone(), predecessors.any()), (1, false));
+        assert!(predecessors.take_gone().is_empty() && none.take_gone().is_empty());
+        let ends = [
+            UndeliveredEnd { call: CallId(7), how: Release::Completed },
+            UndeliveredEnd { call: CallId(u64::MAX), how: Release::Cut },
+        ];
+        first.unwrap().leave(&ends).unwrap();
+        assert_eq!((predecessors.take_gone(), predecessors.any()), (vec![ends.to_vec()], false));
         fs::remove_dir_all(&folder).unwrap();
     }
 }
--- a/tests/process/hand_over.rs
+++ b/tests/process/hand_over.rs
@@ -13,10 +13,10 @@
     }
 }
 
-/// Guards against the end of a call that its call server tells the old process as that closes its connections: nobody read
-/// it any more, and the new process, whose connections were open already, was never told.
+/// Guards against the end of a call that its call server tells the old process too late to be read there: the new process,
+/// whose connections were open already, was never told.
 #[test]
-fn an_end_told_to_a_process_that_leaves_in_a_hand_over_reaches_its_caller() {
+fn an_end_lost_on_its_way_to_a_process_that_leaves_in_a_hand_over_reaches_its_caller() {
     let (a, b, mut old, _names, mut la, _lb, mut caller) = two();
     stand(&mut caller, &mut la, 7);
     let new = old.successor();
@@ -25,10 +25,9 @@
     assert_eq!(caller.hear(), None, "the old process closes its callers' connections");
     let mut moved = new.ready_caller();
     wait_until_left(&mut la);
-    la.down(7, 16, json!({}));
     drop(la);
     assert!(old.wait().success());
-    // It was not said to be heard, so it is told on the next connection that opens.
+    // An end that was not said to be heard is told on the next connection that opens.
     let mut next = a.accept();
     next.down(7, 16, json!({}));
     moved.expect(12, 7, Some(16));
@@ -36,10 +35,10 @@
     next.expect("ack", 7);
 }
 
-/// Guards against ends that the old process goes on taking while all that is left of its callers is a connection that stopped
-/// in the middle of its first message.
+/// Guards against the end of a call that the old process hears when no caller is left there: nobody passed it on. Neither does
+/// a connection that stopped in the middle of its first message keep the old process at its call servers.
 #[test]
-fn a_half_message_does_not_keep_a_process_that_leaves_at_its_call_servers() {
+fn an_end_told_to_a_process_that_leaves_in_a_hand_over_reaches_its_caller() {
     let (a, b, old, _names, mut la, _lb, mut caller) = two();
     stand(&mut caller, &mut la, 7);
     let mut half = old.caller();
@@ -53,8 +52,6 @@
     wait_until_left(&mut la);
     la.down(7, 16, json!({}));
     drop(la);
-    let mut next = a.accept();
-    next.down(7, 16, json!({}));
     moved.expect(12, 7, Some(16));
     half.stream.write_all(&Caller::set_up_bytes(8, 0, 9000)[20..]).unwrap();
     // What was read as the connection to the call server closed is offered here as well: this may be a caller's.
