Move the planned end, close reasons and unread events into modules of their own

The start and the end of the program stand apart now (engine/stop.rs), as do the reasons for closing a connection to a call server (engine/close_reason.rs) and what the end of the program leaves unread (net/unheard.rs). Moved as they were.

--- a/src/engine/caller_close.rs
+++ b/src/engine/caller_close.rs
@@ -5,7 +5,8 @@
 
 use super::callers::Conn;
 use super::operators::FIRST_WORD_MS;
-use super::{CallerConn, Due, Effect, Engine, LAST_LOOK_MS, ToCaller};
+use super::stop::LAST_LOOK_MS;
+use super::{CallerConn, Due, Effect, Engine, ToCaller};
 use crate::interface as module;
 use std::collections::BTreeSet;
 
--- a/src/engine/liveness.rs
+++ b/src/engine/liveness.rs
@@ -1,6 +1,7 @@
 //! Which connections to call servers still carry anything, and which call servers live.
 
-use super::fleet::{CONNS_MAX, CloseReason, Conn, Return, Server};
+use super::close_reason::CloseReason;
+use super::fleet::{CONNS_MAX, Conn, Return, Server};
 use super::{Effect, Engine, ServerConn};
 use crate::interface::{Listed, ServerId};
 
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -3,6 +3,7 @@
 use super::listeners::{self, Heirs};
 use super::presence::{self, PREDECESSOR_POLL, Presence};
 use super::signals::Signals;
+use super::unheard::Unheard;
 use super::{CALLER_QUEUE, SERVER_QUEUE, callers, control, names, operators, peers, servers};
 use crate::audit::{AuditSettings, Writer};
 use crate::clock::{Clock, PULSE};
@@ -11,8 +12,8 @@
 use crate::config::{Config, Source};
 use crate::control::{ControlSettings, Place};
 use crate::engine::{
-    CallerConn, Effect, Engine, Event, FromServer, OperatorAnswer, OperatorAsk, OperatorConn, PeerReport,
-    ServerConn, Standing, ToCaller,
+    CallerConn, Effect, Engine, Event, OperatorAnswer, OperatorAsk, OperatorConn, PeerReport, ServerConn,
+    Standing, ToCaller,
 };
 use crate::fronts::Fronts;
 use crate::limits::{LimitSettings, Limits};
@@ -234,40 +235,6 @@
     fleet_file: Option<(ControlSettings, PathBuf)>,
 }
 
-/// What came in after the reducer's last step.
-#[derive(Debug, Default)]
-struct Unheard {
-    /// Messages of callers, and of call servers.
-    callers: usize,
-    servers: usize,
-    /// Of the latter, ends of calls.
-    ends: usize,
-}
-
-impl Unheard {
-    fn note(&mut self, event: &Event) {
-        match event {
-            Event::Caller { .. } => self.callers += 1,
-            Event::Server { message, .. } => {
-                self.servers += 1;
-                if let FromServer::Ended { call, .. } = message {
-                    self.ends += 1;
-                    log::debug!("call {:016x}: its end was read after the last step", call.0);
-                }
-            }
-            _ => {}
-        }
-    }
-
-    fn log(&self) {
-        let Unheard { callers, servers, ends } = self;
-        log::info!(
-            "ended; read after the last step: {callers} messages of callers, {servers} of call servers, {ends} of \
-             these ends of calls"
-        );
-    }
-}
-
 /// What a caller's connection speaks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Speech {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -15,6 +15,7 @@
 pub mod startup;
 #[cfg(test)]
 mod tests;
+mod unheard;
 pub mod write_batch;
 
 use crate::codec::unreadable::Unreadable;
