--- a/tests/soak/record.rs
+++ b/tests/soak/record.rs
@@ -142,6 +142,15 @@
     pub most_memory_mb: f64,
 }
 
+/// A new process took over from a node's old one, beside it.
+#[derive(Clone, Debug)]
+pub struct HandOver {
+    pub node: usize,
+    /// The new process was started then, and the old one ended.
+    pub from: f64,
+    pub to: f64,
+}
+
 /// A connection that a node opened to a call server.
 #[derive(Clone, Debug)]
 pub struct Link {
@@ -171,6 +180,7 @@
     pub told: Vec<ListTold>,
     pub outages: Vec<Outage>,
     pub processes: Vec<Process>,
+    pub hand_overs: Vec<HandOver>,
     pub links: Vec<Link>,
     /// Nodes that tested a call server.
     pub tests: Vec<(usize, String)>,
@@ -193,6 +203,11 @@
         by_call
     }
 
+    /// Whether a hand-over of this node was under way then, or had been for so long before, ms.
+    pub fn in_hand_over(&self, node: usize, at: f64, after_ms: f64) -> bool {
+        self.hand_overs.iter().any(|h| h.node == node && (h.from..=h.to + after_ms).contains(&at))
+    }
+
     /// The process of this node that ran then.
     pub fn process_at(&self, node: usize, at: f64) -> Option<&Process> {
         self.processes.iter().rfind(|p| p.node == node && p.started_at <= at)
--- a/tests/soak/trial.rs
+++ b/tests/soak/trial.rs
@@ -87,6 +87,9 @@
         node: usize,
         restart_after_ms: f64,
     },
+    HandOver {
+        node: usize,
+    },
 }
 
 /// A trial as drawn.
@@ -161,6 +164,20 @@
         }
     }
 
+    /// The trial of this seed with a hand-over of each node, while configurations come and the name service is slow, in
+    /// place of its own faults.
+    pub fn draw_hand_overs(seed: u64) -> Plan {
+        let mut plan = Plan::draw(seed);
+        let mut draw = Draw(fastrand::Rng::with_seed(!seed));
+        plan.faults.retain(|(_, fault)| matches!(fault, Fault::Reload { .. } | Fault::SlowNames { .. }));
+        for node in 0..plan.nodes {
+            plan.faults.push((draw.between(FIRST_FAULT_MS, 3000.0), Fault::HandOver { node }));
+        }
+        // Load and lifetimes at which every moment of a hand-over sees calls end.
+        plan.callers.per_s = draw.between(30.0, 90.0);
+        plan
+    }
+
     /// What a reader of a break needs to know of the trial.
     pub fn describe(&self) -> String {
         let faults: Vec<String> =
@@ -451,6 +468,7 @@
         Fault::Reload { node, times, gap_ms } => nodes[node].clone().reload(times, gap_ms).await,
         Fault::Stop { node, restart_after_ms } => nodes[node].clone().stop(restart_after_ms).await,
         Fault::Kill { node, restart_after_ms } => nodes[node].clone().kill(restart_after_ms).await,
+        Fault::HandOver { node } => nodes[node].clone().hand_over().await,
     }
 }
 
