Remember ended calls by who may still speak of them, not the last 4,096

Cause: 4,096 ended calls were remembered, whatever they were; a call server may speak of one for as long as it stands there. Now calls that reached no call server, calls that did, and calls that may still stand there are remembered apart, so that neither ordinary calls nor a flood of refused ones displace the last kind.

Test: attempt_tests::the_end_of_a_call_refused_long_ago_is_not_passed_on, run on the code of before: FAILED (1 release where 0 are allowed); passes now.

--- a/src/engine/answers.rs
+++ b/src/engine/answers.rs
@@ -1,6 +1,7 @@
 //! What call servers say of calls: answers, and the ends of calls that stood or never did.
 
 use super::calls::{Attempt, Stage, Standing};
+use super::ended_calls::Reach;
 use super::release_delivery::{EndOfCall, EndSource};
 use super::{CallerConn, Effect, Ending, Engine, Release, ServerConn, ToCaller, ToServer};
 use crate::audit::Decision;
@@ -71,8 +72,8 @@
                 out.push(Effect::ToServer { conn, message: ToServer::Heard(id), confirm: false });
             }
             // A call that stood before this program's start is over: its caller is to hear of it.
-            if !self.calls.ended.all.contains(&id) && matches!(how, Ending::Normal | Ending::Reset) {
-                self.calls.ended.add(id);
+            if !self.calls.ended.contains(id) && matches!(how, Ending::Normal | Ending::Reset) {
+                self.calls.ended.add(id, Reach::Sent);
                 let how = if how == Ending::Normal { Release::Completed } else { Release::Cut };
                 let end = EndOfCall { call: id, how, source: Some(source) };
                 self.release_to_caller(CallerConn(0), end, out);
@@ -147,6 +148,7 @@
             log::info!("{} calls cut at {}", cut.len(), self.fleet.name(server));
         }
         for id in cut {
+            self.note_may_stand(id);
             let end = EndOfCall { call: id, how: Release::Cut, source: None };
             self.over(end, LoadReport::default(), out);
         }
--- a/src/engine/calls.rs
+++ b/src/engine/calls.rs
@@ -1,16 +1,15 @@
 //! Calls and their attempts: from the set-up to the one final answer, and to the release of what stood.
 
+use super::ended_calls::{EndedCalls, Reach};
 use super::shares::Paid;
 use super::{CallerConn, Due, Effect, Engine, Fault, ServerConn, SetUp, ToCaller, ToServer};
 use crate::audit::Decision;
 use crate::interface::{self as module, CallId, LoadReport, Outcome, ServerId};
 use crate::settings::ClassRules;
-use std::collections::{BTreeMap, HashSet, VecDeque};
+use std::collections::BTreeMap;
 
 /// The module answers before the caller's time is over; if it has not this long after, the engine does, ms.
 const OVERDUE_MS: f64 = 5.0;
-/// Ended calls remembered, so that what crosses their end is told from news of a call before our start.
-const ENDED_MAX: usize = 4096;
 /// A caller waits no longer than its class's deadline, give or take; a longer wait is no figure.
 const WAIT_SLACK: f64 = 2.0;
 
@@ -55,44 +54,14 @@
     pub(super) attempt: Option<Attempt>,
     pub(super) guard_until: f64,
     pub(super) standing: Option<Standing>,
-}
-
-/// Calls of late that are over.
-#[derive(Default)]
-pub(super) struct Ended {
-    pub(super) oldest_first: VecDeque<CallId>,
-    pub(super) all: HashSet<CallId>,
-    /// Of these, the ones whose end no call server was told to be heard.
-    unheard: HashSet<CallId>,
-}
-
-impl Ended {
-    /// False: it was remembered already.
-    pub(super) fn add(&mut self, call: CallId) -> bool {
-        let new = self.all.insert(call);
-        if new {
-            self.oldest_first.push_back(call);
-            self.unheard.insert(call);
-        }
-        if self.oldest_first.len() > ENDED_MAX
-            && let Some(oldest) = self.oldest_first.pop_front()
-        {
-            self.all.remove(&oldest);
-            self.unheard.remove(&oldest);
-        }
-        new
-    }
-
-    /// A call server is told that the end of this call is heard: true the first time.
-    pub(super) fn hear_end(&mut self, call: CallId) -> bool {
-        self.unheard.remove(&call)
-    }
+    /// How far it came.
+    pub(super) reach: Reach,
 }
 
 #[derive(Default)]
 pub(super) struct Calls {
     pub(super) live: BTreeMap<CallId, Call>,
-    pub(super) ended: Ended,
+    pub(super) ended: EndedCalls,
 }
 
 impl Calls {
@@ -197,8 +166,8 @@
 
     /// The one place where a call is given back.
     pub(super) fn forget(&mut self, call: CallId) {
-        if self.live.remove(&call).is_some() {
-            self.ended.add(call);
+        if let Some(over) = self.live.remove(&call) {
+            self.ended.add(call, over.reach);
         }
     }
 }
@@ -216,7 +185,7 @@
     ) -> Result<(), Fault> {
         let id = set_up.call;
         // Every set-up has an id of its own. One that comes under the id of a call, open or over, is none.
-        if self.calls.live.contains_key(&id) || self.calls.ended.all.contains(&id) {
+        if self.calls.live.contains_key(&id) || self.calls.ended.contains(id) {
             return Err(Fault::Invalid);
         }
         let class = self.host.classes.iter().position(|c| c.name == set_up.class).ok_or(Fault::Invalid)?;
@@ -268,6 +237,7 @@
             attempt: None,
             guard_until: f64::NEG_INFINITY,
             standing: None,
+            reach: Reach::Unsent,
         };
         self.job_takes(id, class, call.number.as_deref());
         self.calls.live.insert(id, call);
@@ -294,7 +264,7 @@
     /// False: no such call is known to have been here. It stood before this program's start then, and whichever
     /// call server holds it is to hear of it.
     pub(super) fn released_by_caller(&mut self, conn: CallerConn, id: CallId, out: &mut Vec<Effect>) -> bool {
-        let Some(call) = self.calls.live.get_mut(&id) else { return self.calls.ended.all.contains(&id) };
+        let Some(call) = self.calls.live.get_mut(&id) else { return self.calls.ended.contains(id) };
         if let Some(standing) = call.standing.take() {
             self.calls.forget(id);
             self.decided(id, out, || Decision::Released);
@@ -463,6 +433,7 @@
         let Some(call) = self.calls.live.get_mut(&id) else { return };
         let Some(attempt) = &mut call.attempt else { return };
         attempt.stage = Stage::Out(conn);
+        call.reach = call.reach.max(Reach::Sent);
         let message = ToServer::SetUp {
             call: id,
             class: self.host.classes.get(call.class).map(|c| c.name.clone()).unwrap_or_default(),
@@ -514,10 +485,18 @@
         if let Some(Stage::Ending(on, outcome)) = stage
             && on == conn
         {
+            self.note_may_stand(id);
             self.end_attempt(id, outcome, LoadReport::default());
         }
     }
 
+    /// The call server may not have heard of the end of this call's attempt, or of the call: it may stand there still.
+    pub(super) fn note_may_stand(&mut self, id: CallId) {
+        if let Some(call) = self.calls.live.get_mut(&id) {
+            call.reach = Reach::MayStand;
+        }
+    }
+
     /// The connection of these attempts is lost: they are reset, or ended as was being written.
     pub(super) fn end_on(&mut self, conn: ServerConn) {
         let stage_on = |c: &Call| match c.attempt.as_ref().map(|a| a.stage) {
@@ -528,6 +507,7 @@
         let ended: Vec<_> =
             self.calls.live.iter().filter_map(|(&id, c)| stage_on(c).map(|how| (id, how))).collect();
         for (id, outcome) in ended {
+            self.note_may_stand(id);
             self.end_attempt(id, outcome, LoadReport::default());
         }
     }
--- a/src/engine/fleet.rs
+++ b/src/engine/fleet.rs
@@ -1,6 +1,7 @@
 //! The call servers: the name service's list, the connections to each, and whether it lives.
 
 use super::close_reason::CloseReason;
+use super::ended_calls::Reach;
 use super::release_delivery::EndOfCall;
 use super::{
     CallerConn, Due, Effect, Engine, FromServer, Listing, Lost, ServerConn, ToServer, UndeliveredEnd,
@@ -469,7 +470,7 @@
             undelivered.len()
         );
         for UndeliveredEnd { call, how } in undelivered {
-            if !self.calls.live.contains_key(&call) && self.calls.ended.add(call) {
+            if !self.calls.live.contains_key(&call) && self.calls.ended.add(call, Reach::Sent) {
                 self.release_to_caller(CallerConn(0), EndOfCall { call, how, source: None }, out);
             }
         }
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -5,10 +5,13 @@
 //! answer, one attempt at a time, nothing new to a call server that drains, the release guard.
 
 mod answers;
+#[cfg(test)]
+mod attempt_tests;
 mod caller_close;
 mod callers;
 mod calls;
 mod close_reason;
+mod ended_calls;
 mod fleet;
 mod jobs;
 mod liveness;
