Read a closed connection until its call server notices, and have ends told again

Cause: the connection was closed from here, replaced at once and read for 0.3 s; its call server could not know and went on telling ends there, and no further connection opened on which it would have told them again.

Change: a closed connection is read until its call server closes its side (10 s at most), and as long as a call stands that was set up on one whose close may be unnoticed, a further connection is opened every 3.5 s.

--- a/src/engine/calls.rs
+++ b/src/engine/calls.rs
@@ -113,6 +113,12 @@
         self.live.iter().filter(|(_, c)| which(c)).map(|(&id, _)| id).collect()
     }
 
+    /// The connections on which the calls that stand at this call server were set up.
+    pub fn standing_at(&self, server: ServerId) -> impl Iterator<Item = ServerConn> {
+        let standing = self.live.values().filter_map(|c| c.standing.as_ref());
+        standing.filter(move |s| s.server == server).map(|s| s.conn)
+    }
+
     pub fn any_standing_at(&self, server: ServerId) -> bool {
         self.live.values().any(|c| c.standing.as_ref().is_some_and(|s| s.server == server))
     }
@@ -134,6 +140,11 @@
         self.any_standing_at(server) || self.live.values().any(set_up)
     }
 
+    /// Whether a call stands that was set up on this connection.
+    pub fn any_standing_set_up_on(&self, conn: ServerConn) -> bool {
+        self.live.values().any(|c| c.standing.as_ref().is_some_and(|s| s.conn == conn))
+    }
+
     pub fn any_on(&self, conn: ServerConn) -> bool {
         self.live.values().any(|c| {
             c.attempt
--- a/src/engine/fleet.rs
+++ b/src/engine/fleet.rs
@@ -13,6 +13,12 @@
 pub(super) const CONNS_MAX: usize = 4;
 /// One that could not be reached is tried again after this, ms.
 const REDIAL_MS: f64 = 300.0;
+/// A connection that was closed from here is read until its call server closes its side, or for so long, ms: until then the
+/// server may tell of calls there and nowhere else.
+const READ_OUT_MS: f64 = 10_000.0;
+/// For so long where the program ends, or where more than `READ_OUT_MAX` connections to one call server are read so, ms.
+const SHORT_READ_OUT_MS: f64 = 300.0;
+const READ_OUT_MAX: usize = 2;
 /// Releases kept for a call server that has no connection open.
 const OWED_MAX: usize = 4096;
 
@@ -88,6 +94,14 @@
     pub(super) owed: Vec<CallId>,
 }
 
+/// A connection that was closed from here and is still read.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Closing {
+    pub(super) server: ServerId,
+    /// It is read no longer than this.
+    until: f64,
+}
+
 #[derive(Default)]
 pub(super) struct Fleet {
     pub(super) serial: Option<u32>,
@@ -97,7 +111,9 @@
     pub(super) by_conn: HashMap<ServerConn, ServerId>,
     pub(super) dialled: u64,
     /// Connections closed from here on which something may still come.
-    pub(super) closing: HashMap<ServerConn, ServerId>,
+    pub(super) closing: HashMap<ServerConn, Closing>,
+    /// Connections let go of before their call server had noticed the close, as long as a call of theirs is there.
+    pub(super) unnoticed: HashMap<ServerConn, ServerId>,
 }
 
 impl Fleet {
@@ -153,6 +169,11 @@
         !self.closing.is_empty()
     }
 
+    /// Whether a call server may take this connection for open although it was closed from here.
+    pub(super) fn is_unnoticed(&self, conn: ServerConn) -> bool {
+        self.closing.contains_key(&conn) || self.unnoticed.contains_key(&conn)
+    }
+
     pub(super) fn is_open(&self, conn: ServerConn) -> bool {
         let server = self.by_conn.get(&conn).and_then(|id| self.servers.get(id));
         server.is_some_and(|s| s.conns.iter().any(|c| c.id == conn && c.carries()))
@@ -370,11 +391,15 @@
     }
 
     pub(super) fn server_lost(&mut self, conn: ServerConn, how: Lost, out: &mut Vec<Effect>) {
-        self.fleet.closing.remove(&conn);
-        self.tell_servers_left(out);
+        if self.fleet.closing.contains_key(&conn) {
+            return self.read_out(conn, how, out);
+        }
         let one_too_many = self.one_too_many(conn);
         let was_open = self.fleet.is_open(conn);
         let Some((server, lived_ms)) = self.drop_conn(conn) else { return };
+        if how == Lost::Abandoned {
+            self.fleet.unnoticed.insert(conn, server);
+        }
         let Some(s) = self.fleet.servers.get_mut(&server) else { return };
         let alone = s.conns.iter().all(|c| c.witness);
         // A server that is down is dialled several times a second: only the first failure is worth a line.
@@ -395,7 +420,7 @@
             }
             // A reset tells of this connection alone: a call server in good health resets it after what it could
             // not read, and so may the way there. If the process died, the dial that follows is refused.
-            Lost::Refused | Lost::TimedOut | Lost::Reset | Lost::Closed => {}
+            Lost::Refused | Lost::TimedOut | Lost::Reset | Lost::Closed | Lost::Abandoned => {}
         }
         let Some(s) = self.fleet.servers.get_mut(&server) else { return };
         if matches!(how, Lost::Refused | Lost::TimedOut) {
@@ -440,9 +465,69 @@
     pub(super) fn close(&mut self, conn: ServerConn, reason: CloseReason, out: &mut Vec<Effect>) {
         if let Some((server, _)) = self.drop_conn(conn) {
             log::info!("connection {} to {}: closed, {reason}", conn.0, self.fleet.name(server));
-            self.fleet.closing.insert(conn, server);
+            let until = self.now + READ_OUT_MS;
+            self.fleet.closing.insert(conn, Closing { server, until });
+            self.timers.set(until, Due::ReadOut(conn));
             out.push(Effect::CloseServer(conn));
+            self.limit_read_outs(server);
+        }
+    }
+
+    /// Of too many closed connections to a call server that are still read, the oldest are soon let go of.
+    fn limit_read_outs(&mut self, server: ServerId) {
+        let closing = self.fleet.closing.iter().filter(|(_, c)| c.server == server);
+        let mut conns: Vec<ServerConn> = closing.map(|(&conn, _)| conn).collect();
+        conns.sort_unstable();
+        for &conn in conns.iter().rev().skip(READ_OUT_MAX) {
+            self.shorten_read_out(conn);
+        }
+    }
+
+    fn shorten_read_out(&mut self, conn: ServerConn) {
+        let until = self.now + SHORT_READ_OUT_MS;
+        if let Some(closing) = self.fleet.closing.get_mut(&conn).filter(|closing| closing.until > until) {
+            closing.until = until;
+            self.timers.set(until, Due::ReadOut(conn));
+        }
+    }
+
+    /// The timer of a closed connection has run out.
+    pub(super) fn abandon_if_due(&mut self, conn: ServerConn, out: &mut Vec<Effect>) {
+        if self.fleet.closing.get(&conn).is_some_and(|closing| closing.until <= self.now) {
+            self.abandon(conn, out);
+        }
+    }
+
+    /// A closed connection is read no longer, though its call server has not closed its side.
+    fn abandon(&mut self, conn: ServerConn, out: &mut Vec<Effect>) {
+        let Some(Closing { server, .. }) = self.fleet.closing.remove(&conn) else { return };
+        log::info!(
+            "connection {} to {}: let go of, its close was not noticed",
+            conn.0,
+            self.fleet.name(server)
+        );
+        self.fleet.unnoticed.insert(conn, server);
+        out.push(Effect::AbandonServer(conn));
+        self.tell_servers_left(out);
+    }
+
+    /// A closed connection has ended at its call server as well, or can be read no further.
+    fn read_out(&mut self, conn: ServerConn, how: Lost, out: &mut Vec<Effect>) {
+        let Some(Closing { server, .. }) = self.fleet.closing.remove(&conn) else { return };
+        if how == Lost::Abandoned {
+            self.fleet.unnoticed.insert(conn, server);
+        }
+        if how == Lost::Reset && self.calls.any_standing_set_up_on(conn) {
+            // What was on its way there is lost, and is told on the next that opens.
+            self.dial(server, out);
         }
+        self.tell_servers_left(out);
+    }
+
+    /// Forgets the connections that no call and no attempt is waited for on any more.
+    pub(super) fn forget_unnoticed(&mut self) {
+        let calls = &self.calls;
+        self.fleet.unnoticed.retain(|&conn, _| calls.any_standing_set_up_on(conn));
     }
 
     /// The program is about to end: what call servers tell from now on is for the next process, which has callers to pass
@@ -451,6 +536,9 @@
         for server in self.fleet.servers.keys().copied().collect::<Vec<_>>() {
             self.close_all(server, CloseReason::Leaving, out);
         }
+        for conn in self.fleet.closing.keys().copied().collect::<Vec<_>>() {
+            self.shorten_read_out(conn);
+        }
         self.tell_servers_left(out);
     }
 
@@ -541,7 +629,7 @@
 
     /// What was on its way when its connection was closed from here: an end that was told there is told nowhere else.
     fn hear_last(&mut self, conn: ServerConn, message: FromServer, out: &mut Vec<Effect>) {
-        let Some(&server) = self.fleet.closing.get(&conn) else { return };
+        let Some(&Closing { server, .. }) = self.fleet.closing.get(&conn) else { return };
         log::trace!("{} on connection {}, closed: {message:?}", self.fleet.name(server), conn.0);
         match message {
             // Set-ups were given up with the connection: such a call may be out there again, and this says nothing of
--- a/src/engine/liveness.rs
+++ b/src/engine/liveness.rs
@@ -30,6 +30,11 @@
 /// If set-ups sent so much later elsewhere at that call server are answered, the doubted one is of no use, ms: its
 /// line is first come, first served, and journeys differ by less.
 const OVERTAKEN_MS: f64 = 150.0;
+/// So often a connection is opened for what may be told on one whose close went unnoticed, ms: twice within the 8 s in
+/// which callers must hear of an end.
+const RETELL_MS: f64 = 3500.0;
+/// One connection stays open while another makes room for that.
+const RETELL_CONNS_MIN: usize = 2;
 /// A state is told on all open connections at once: one that lags so far behind has missed it, ms.
 const TOLD_TOGETHER_MS: f64 = 100.0;
 /// On a connection that opened so long ago nothing comes that was told on an older one before, ms.
@@ -49,6 +54,22 @@
             self.look_at_stuck(server, out);
             self.look_at(server, out);
             self.look_for_spare(server, out);
+            self.look_for_untold_ends(server, out);
+        }
+        self.forget_unnoticed();
+    }
+
+    /// A call server that has not noticed the close of a connection tells the ends of its calls there. It tells them again on
+    /// the next that opens, so one is opened from time to time as long as such a call stands.
+    fn look_for_untold_ends(&mut self, server: ServerId, out: &mut Vec<Effect>) {
+        let Some(s) = self.fleet.servers.get(&server) else { return };
+        if s.dialling() || self.now - s.dialled_at < RETELL_MS {
+            return;
+        }
+        if self.calls.standing_at(server).any(|conn| self.fleet.is_unnoticed(conn)) {
+            let unnoticed = self.fleet.closing.values().filter(|c| c.server == server).count()
+                + self.fleet.unnoticed.values().filter(|&&of| of == server).count();
+            self.dial_to_look(server, CONNS_MAX.saturating_sub(unnoticed).max(RETELL_CONNS_MIN), out);
         }
     }
 
--- a/src/engine/messages.rs
+++ b/src/engine/messages.rs
@@ -302,6 +302,8 @@
     Refused,
     /// It did not come up in time.
     TimedOut,
+    /// Let go of from here: the call server may not have noticed, nor read what was written last.
+    Abandoned,
 }
 
 /// The end of a call that has not reached its caller, as one process leaves it to another.
@@ -399,7 +401,10 @@
         message: ToServer,
         confirm: bool,
     },
+    /// Nothing more is written to it; it is read until the call server closes its side or it is abandoned.
     CloseServer(ServerConn),
+    /// A connection that was closed is read no longer.
+    AbandonServer(ServerConn),
     /// Call servers can tell this process of nothing any more, and these ends have reached no caller.
     ServersLeft(Vec<UndeliveredEnd>),
     /// To every other border controller; it may be lost.
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -63,6 +63,8 @@
     /// No connection came up for this attempt in time.
     DialOver(CallId, u32),
     Redial(ServerId),
+    /// A connection that was closed has been read out for long enough.
+    ReadOut(ServerConn),
     /// Attempts wait for their budget.
     Budgets,
     /// A probe's turn, and the end of a probe's time.
@@ -286,6 +288,7 @@
             Due::DialOver(call, attempt) => self.dial_over(call, attempt),
             Due::Budgets => self.pay_held(out),
             Due::Redial(server) => self.redial_if_due(server, out),
+            Due::ReadOut(conn) => self.abandon_if_due(conn, out),
             Due::Probe(server) => self.send_probe(server, out),
             Due::ProbeOver(id) => self.probe_over(id),
             Due::CallerSilent(conn) => self.caller_silent(conn, out),
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -216,6 +216,8 @@
     accept_from: Instant,
     accepted: u64,
     servers: HashMap<ServerConn, servers::Handle>,
+    /// Those that were closed and are still read.
+    closing: HashMap<ServerConn, servers::Closing>,
     /// Where operators' answers go.
     operators: HashMap<OperatorConn, oneshot::Sender<OperatorAnswer>>,
     asked: u64,
@@ -295,6 +297,7 @@
             accept_from: Instant::now(),
             accepted: 0,
             servers: HashMap::new(),
+            closing: HashMap::new(),
             operators: HashMap::new(),
             asked: 0,
             tasks: JoinSet::new(),
@@ -402,6 +405,7 @@
             }
             Event::ServerLost { conn, .. } => {
                 self.servers.remove(conn);
+                self.closing.remove(conn);
                 true
             }
             _ => false,
@@ -467,7 +471,12 @@
                 }
             }
             Effect::CloseServer(conn) => {
-                self.servers.remove(&conn);
+                if let Some(handle) = self.servers.remove(&conn) {
+                    self.closing.insert(conn, handle.close());
+                }
+            }
+            Effect::AbandonServer(conn) => {
+                self.closing.remove(&conn);
             }
             Effect::ToPeers(told) => self.tell_peers(&told),
             // Written already, where there is an audit log.
@@ -611,6 +620,7 @@
     async fn finish(mut self, mut events: mpsc::Receiver<Event>) {
         self.callers.clear();
         self.servers.clear();
+        self.closing.clear();
         let mut unheard = Unheard::default();
         let all = async {
             loop {
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -23,8 +23,6 @@
 
 /// Half a line is waited for so long: the calls on that connection wait for answers that will not come.
 const HALF_MAX: Duration = Duration::from_millis(240);
-/// A call server closes its side of a closed connection within this, or is not waited for.
-const LINGER: Duration = Duration::from_millis(300);
 /// What is being written when the engine closes the connection has so long to be taken. Within the release guard: the
 /// set-ups on the connection count as ended, and may go out elsewhere after it.
 const CLOSE_WRITES_FOR: Duration = Duration::from_millis(100);
@@ -165,26 +163,46 @@
 /// What is to be written, and whether the engine wants to know when it is.
 pub type Order = (ToServer, bool);
 
-/// The engine's end of a connection: orders go in, and letting go of it closes the connection.
+/// The engine's end of a connection: orders go in. Letting go of it ends the connection at once; see [`Handle::close`].
 #[derive(Debug)]
 pub struct Handle {
     pub orders: mpsc::Sender<Order>,
-    _closes: DropGuard,
+    closes: DropGuard,
+    abandons: DropGuard,
+}
+
+impl Handle {
+    /// Closes the connection: nothing more is written, and what the call server says is read until it closes its side or
+    /// what is returned is let go of.
+    pub fn close(self) -> Closing {
+        drop(self.closes);
+        Closing { _abandons: self.abandons }
+    }
+}
+
+/// A connection that was closed from here and is still read. Letting go of it ends that.
+#[derive(Debug)]
+pub struct Closing {
+    _abandons: DropGuard,
 }
 
 /// The task's end of a connection's queue.
 #[derive(Debug)]
 pub struct Orders {
     queue: mpsc::Receiver<Order>,
-    /// The engine let go of its end.
+    /// The engine closed the connection.
     closed: CancellationToken,
+    /// The engine wants to hear nothing more of it.
+    abandoned: CancellationToken,
 }
 
 /// Both ends of a connection's queue.
 pub fn queue(length: usize) -> (Handle, Orders) {
     let (orders, queue) = mpsc::channel(length);
-    let closed = CancellationToken::new();
-    (Handle { orders, _closes: closed.clone().drop_guard() }, Orders { queue, closed })
+    let (closed, abandoned) = (CancellationToken::new(), CancellationToken::new());
+    let handle =
+        Handle { orders, closes: closed.clone().drop_guard(), abandons: abandoned.clone().drop_guard() };
+    (handle, Orders { queue, closed, abandoned })
 }
 
 /// Opens a connection and serves it until either side ends it. The task owns the stream; the engine closes it
@@ -229,7 +247,7 @@
 async fn exchange<C: ServerFront>(
     mut framed: Framed<TcpStream, C>,
     conn: ServerConn,
-    Orders { queue, closed }: &mut Orders,
+    Orders { queue, closed, abandoned }: &mut Orders,
     events: &mpsc::Sender<Event>,
     bad_input: &RateLimitedLog,
 ) -> Lost {
@@ -237,10 +255,7 @@
     loop {
         let result = tokio::select! {
             order = queue.recv() => {
-                let Some(order) = order else {
-                    read_out(framed, conn, events).await;
-                    return Lost::Closed;
-                };
+                let Some(order) = order else { return read_out(framed, conn, events, abandoned).await };
                 let mut batch = vec![order];
                 while let Ok(order) = queue.try_recv() {
                     batch.push(order);
@@ -250,7 +265,9 @@
                         Ok(()) => confirm(batch, conn, events).await,
                         Err(e) => Err(e),
                     },
-                    () = closed_for(closed, CLOSE_WRITES_FOR) => return Lost::Closed,
+                    () = closed_for(closed, CLOSE_WRITES_FOR) => {
+                        return read_out(framed, conn, events, abandoned).await;
+                    }
                 }
             }
             () = halves.due() => halves.look(framed.read_buffer()),
@@ -277,7 +294,7 @@
                     ),
                     None => log::info!("connection {} to a call server: {e}", conn.0),
                 }
-                return Lost::Closed;
+                return Lost::Abandoned;
             }
         }
     }
@@ -289,23 +306,33 @@
     sleep(time).await;
 }
 
-/// Closed from here: what the call server had said by then is still heard, as it is told nowhere else.
+/// Closed from here: what the call server says until it closes its side is still heard, as it may be told nowhere else.
 async fn read_out<C: ServerFront>(
     mut framed: Framed<TcpStream, C>,
     conn: ServerConn,
     events: &mpsc::Sender<Event>,
-) {
+    abandoned: &CancellationToken,
+) -> Lost {
     if framed.get_mut().shutdown().await.is_err() {
-        return;
+        return Lost::Reset;
     }
-    let rest = async {
-        while let Some(Ok(message)) = framed.next().await {
-            if events.send(Event::Server { conn, message }).await.is_err() {
-                break;
+    loop {
+        let message = tokio::select! {
+            message = framed.next() => message,
+            () = abandoned.cancelled() => return Lost::Abandoned,
+        };
+        match message {
+            Some(Ok(message)) => {
+                if events.send(Event::Server { conn, message }).await.is_err() {
+                    return Lost::Abandoned;
+                }
             }
+            Some(Err(e)) if Unreadable::in_error(&e) == Some(&Unreadable::Half) => return Lost::Closed,
+            Some(Err(e)) if e.kind() == io::ErrorKind::ConnectionReset => return Lost::Reset,
+            Some(Err(_)) => return Lost::Abandoned,
+            None => return Lost::Closed,
         }
-    };
-    let _ = timeout(LINGER, rest).await;
+    }
 }
 
 async fn write<C: ServerFront>(framed: &mut Framed<TcpStream, C>, batch: &[Order]) -> io::Result<()> {
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -7,6 +7,7 @@
 mod planned_stop;
 mod readiness;
 mod rig;
+mod silent_connections;
 mod speech;
 mod start_signals;
 mod text;
