Have call servers of the tests that answer everything tell lines for it

Traced: its call servers told 90 free lines of 100. The rule is right, and the stand-in was wrong: one that lets 1,200 calls stand has the lines for them.

Call servers that answer everything tell 10,000 lines. What the test asks is as before.

--- a/tests/process/rig.rs
+++ b/tests/process/rig.rs
@@ -13,6 +13,8 @@
 
 /// Whatever a test waits for comes well within this, or it fails.
 pub const PATIENCE: Duration = Duration::from_secs(15);
+/// Lines of a call server that answers every set-up: more than a test sets up calls.
+const LINES: u32 = 10_000;
 /// The configuration's file in the folder of a process.
 const CONFIG_FILE: &str = "config.json";
 /// The address of a process that has told none yet; nobody can connect there.
@@ -365,9 +367,9 @@
         assert!(self.lines.get_ref().peek(&mut [0]).unwrap() > 0);
     }
 
-    /// Tells the state and answers every set-up until the connection is closed.
+    /// Tells that there is room for any number of calls, and answers every set-up until the connection is closed.
     pub fn answer_all(mut self) {
-        self.gauge();
+        self.gauge_lines(LINES, LINES);
         while let Some(line) = self.hear() {
             if line["t"] == "new" {
                 let call = line["ref"].as_str().and_then(|id| u64::from_str_radix(id, 16).ok());
@@ -377,9 +379,13 @@
     }
 
     pub fn gauge(&mut self) {
-        self.say(
-            json!({"t": "gauge", "ref": "0000000000000000", "f": {"load": "x0:90;x1:100;latency_ms:-1"}}),
-        );
+        self.gauge_lines(90, 100);
+    }
+
+    /// Tells how many lines are free, and how many there are.
+    fn gauge_lines(&mut self, free: u32, lines: u32) {
+        let load = format!("x0:{free};x1:{lines};latency_ms:-1");
+        self.say(json!({"t": "gauge", "ref": "0000000000000000", "f": {"load": load}}));
     }
 
     pub fn up(&mut self, call: u64) {
