Send a call to a call server again only once that has read that its attempt is over

Cause: messages name a call and no attempt. An attempt counted as over once its release was written here, and the next one could go to the same call server on another connection, where the two pass each other.

Change: an attempt that was given up is noted with its connection until its call server has read so, by its word on a set-up written later there, by closing its side, or by its end. The module is told (Barred, Unbarred) and places the call elsewhere. An end must come on the connection of its attempt if an earlier attempt there ended on the other; an attempt that follows at once goes on another connection. Why it works: two attempts of a call at one call server no longer overlap in what is unread.

--- a/src/engine/answers.rs
+++ b/src/engine/answers.rs
@@ -21,6 +21,10 @@
         if call.as_ref().and_then(|c| c.standing.as_ref()).is_some_and(|s| s.server == server) {
             return;
         }
+        if call.as_ref().is_some_and(|c| c.is_of_ended_attempt(server, conn)) {
+            // An attempt that ended before the one that is out there: a release would end that one as well.
+            return log::debug!("call {:016x}: an answer of an earlier attempt", id.0);
+        }
         let out_there = |a: &Attempt| a.server == server && matches!(a.stage, Stage::Out(_));
         let call = call.filter(|c| !c.answered && c.attempt.as_ref().is_some_and(out_there));
         if call.is_some() && description.is_none() {
@@ -51,6 +55,9 @@
         out.push(Effect::ToCaller { conn: caller, message: ToCaller::Answer { call: id, description } });
         let after_ms = self.now - attempt.sent_at;
         self.passed_on(server, conn, attempt.sent_at);
+        if attempt.stage == Stage::Out(conn) {
+            self.note_read(conn, attempt.written);
+        }
         self.news.push_back(module::Event::Standing { call: id, server, after_ms });
         self.close_if_done(caller, out);
     }
@@ -86,17 +93,25 @@
             return self.over(end, report, out);
         }
         let Some(attempt) = call.attempt.as_ref().filter(|a| a.server == server) else { return };
-        let (sent_at, on) = match attempt.stage {
+        let (sent_at, written, on) = match attempt.stage {
             Stage::Unpaid | Stage::Waiting => return,
-            Stage::Out(on) | Stage::Ending(on, _) => (attempt.sent_at, on),
+            Stage::Out(on) | Stage::Ending(on, _) => (attempt.sent_at, attempt.written, on),
         };
+        if how != Ending::Normal && call.is_of_ended_attempt(server, conn) {
+            return log::debug!("call {:016x}: the end of an earlier attempt, once more", id.0);
+        }
+        let is_out = attempt.stage == Stage::Out(on);
+        if on == conn {
+            self.note_read(conn, written);
+        }
+        let Some(call) = self.calls.live.get(&id) else { return };
         // What never stood ends on the connection of its set-up; what stood ends there or, if that is of no use any
         // more, on another.
         let stood = how == Ending::Normal || (how == Ending::Reset && on != conn);
         if stood && !call.answered {
             return self.over_unseen(conn, id, report, out);
         }
-        if attempt.stage == Stage::Out(on) {
+        if is_out {
             let unlooked = matches!(how, Ending::Full { lines: false, waited_ms: None })
                 && report == LoadReport::default();
             let turned_away = unlooked && on == conn && self.turned_away(server, conn);
--- a/src/engine/attempt_tests.rs
+++ b/src/engine/attempt_tests.rs
@@ -47,6 +47,16 @@
         self.step(Event::Caller { conn: CALLER, read_at: self.now, message })
     }
 
+    /// The connection of the set-up of this call among these effects.
+    fn sent(effects: &[Effect], call: CallId) -> Option<ServerConn> {
+        effects.iter().find_map(|e| match e {
+            Effect::ToServer { conn, message: ToServer::SetUp { call: of, .. }, .. } if *of == call => {
+                Some(*conn)
+            }
+            _ => None,
+        })
+    }
+
     fn release(&mut self, call: CallId) -> Vec<Effect> {
         let message = FromCaller::Release(call);
         self.step(Event::Caller { conn: CALLER, read_at: self.now, message })
@@ -100,3 +110,45 @@
     let before_the_start = CallId(0xfedcba);
     assert_eq!(told(&rig.end(conn, before_the_start, Ending::Normal), before_the_start), 1);
 }
+
+/// Guards against a release that is overtaken: a call that was called off went to the same call server again, on another
+/// connection, while the release of its first attempt was unread there. Read late, that cut the call that stood.
+#[test]
+fn a_call_goes_to_a_call_server_again_only_once_its_release_there_was_read() {
+    let mut rig = Rig::new();
+    let first = rig.conn;
+    assert_eq!(Rig::sent(&rig.set_up(CALL), CALL), Some(first));
+    let dialled = rig.after(250.0);
+    let second = rig.open(&dialled);
+    let next = CallId(7);
+    assert_eq!(Rig::sent(&rig.set_up(next), next), Some(second));
+    let overtaken = rig.answer(second, next);
+    assert!(overtaken.contains(&Effect::CloseServer(first)), "{overtaken:?}");
+    for _ in 0..5 {
+        assert_eq!(Rig::sent(&rig.after(80.0), CALL), None, "its call server may not know that it is over");
+    }
+    rig.step(Event::ServerLost { conn: first, how: Lost::Closed });
+    let sent = (0..5).find_map(|_| Rig::sent(&rig.after(50.0), CALL));
+    assert!(sent.is_some_and(|conn| conn != first), "the call server closed its side: {sent:?}");
+}
+
+/// Guards against a third attempt beside the second: a "moot" that came twice ended the attempt that followed the first.
+#[test]
+fn a_second_copy_of_a_moot_answer_does_not_end_the_next_attempt() {
+    let mut rig = Rig::new();
+    let first = rig.conn;
+    rig.set_up(CALL);
+    rig.now += 20.0;
+    let dialled = rig.end(first, CALL, Ending::NotSent);
+    assert_eq!(Rig::sent(&dialled, CALL), None, "not on the connection of the first");
+    rig.now += 1.0;
+    let Some(Effect::Dial { conn: second, .. }) = dialled.iter().find(|e| matches!(e, Effect::Dial { .. }))
+    else {
+        panic!("{dialled:?}")
+    };
+    assert_eq!(Rig::sent(&rig.step(Event::ServerOpened(*second)), CALL), Some(*second));
+    let copy = rig.end(first, CALL, Ending::NotSent);
+    assert!(copy.is_empty(), "{copy:?}");
+    let answered = rig.answer(*second, CALL);
+    assert!(answered.iter().any(|e| matches!(e, Effect::ToCaller { message: ToCaller::Answer { .. }, .. })));
+}
--- a/src/engine/calls.rs
+++ b/src/engine/calls.rs
@@ -2,6 +2,7 @@
 
 use super::ended_calls::{EndedCalls, Reach};
 use super::shares::Paid;
+use super::unsettled::{Unsettled, UnsettledAttempts};
 use super::{CallerConn, Due, Effect, Engine, Fault, ServerConn, SetUp, ToCaller, ToServer};
 use crate::audit::Decision;
 use crate::interface::{self as module, CallId, LoadReport, Outcome, ServerId};
@@ -18,9 +19,18 @@
     pub(super) number: u32,
     pub(super) server: ServerId,
     pub(super) sent_at: f64,
+    /// Its set-up's place among all that was written to call servers.
+    pub(super) written: u64,
     pub(super) stage: Stage,
 }
 
+/// Where and when an attempt ended that had been sent.
+pub(super) struct EndedAttempt {
+    pub(super) server: ServerId,
+    pub(super) conn: ServerConn,
+    at: f64,
+}
+
 #[derive(Clone, Copy, PartialEq)]
 pub(super) enum Stage {
     /// For its budget.
@@ -53,6 +63,8 @@
     pub(super) held_from: Option<f64>,
     pub(super) attempt: Option<Attempt>,
     pub(super) guard_until: f64,
+    /// The attempts of it that have ended.
+    pub(super) tried: Vec<EndedAttempt>,
     pub(super) standing: Option<Standing>,
     /// How far it came.
     pub(super) reach: Reach,
@@ -62,6 +74,9 @@
 pub(super) struct Calls {
     pub(super) live: BTreeMap<CallId, Call>,
     pub(super) ended: EndedCalls,
+    pub(super) unsettled: UnsettledAttempts,
+    /// Set-ups and releases written to call servers.
+    pub(super) written: u64,
 }
 
 impl Calls {
@@ -140,6 +155,16 @@
         self.any_standing_at(server) || self.live.values().any(set_up)
     }
 
+    /// The connections to this call server on which attempts of this call have ended since then.
+    pub fn tried_on_since(&self, call: CallId, server: ServerId, since: f64) -> Vec<ServerConn> {
+        let tried = self.live.get(&call).map_or(&[][..], |c| &c.tried);
+        tried
+            .iter()
+            .filter(|ended| ended.server == server && ended.at > since)
+            .map(|ended| ended.conn)
+            .collect()
+    }
+
     /// Whether a call stands that was set up on this connection.
     pub fn any_standing_set_up_on(&self, conn: ServerConn) -> bool {
         self.live.values().any(|c| c.standing.as_ref().is_some_and(|s| s.conn == conn))
@@ -178,6 +203,7 @@
     /// The one place where a call is given back.
     pub(super) fn forget(&mut self, call: CallId) {
         if let Some(over) = self.live.remove(&call) {
+            self.unsettled.forget(call);
             self.ended.add(call, over.reach);
         }
     }
@@ -247,6 +273,7 @@
             held_from: None,
             attempt: None,
             guard_until: f64::NEG_INFINITY,
+            tried: Vec::new(),
             standing: None,
             reach: Reach::Unsent,
         };
@@ -359,11 +386,12 @@
     /// The one place where an attempt begins; the rules are checked once more.
     pub(super) fn send(&mut self, id: CallId, server: ServerId, timeout_ms: f64, out: &mut Vec<Effect>) {
         let (now, ready) = (self.now, self.fleet.is_ready(server));
+        let settled = !self.calls.unsettled.any(id, server);
         let call = self.calls.live.get_mut(&id);
         let allowed = call.as_ref().is_some_and(|c| {
             !c.answered && c.attempt.is_none() && now >= c.guard_until && c.attempts < self.max_attempts
         });
-        let Some(call) = call.filter(|_| allowed && ready) else {
+        let Some(call) = call.filter(|_| allowed && ready && settled) else {
             log::error!("call {:016x} may not be sent", id.0);
             return self.tell_ended(id, server, Outcome::NotSent, false, LoadReport::default());
         };
@@ -408,7 +436,7 @@
         }
         let Some(call) = self.calls.live.get_mut(&id) else { return };
         call.attempts += 1;
-        call.attempt = Some(Attempt { number, server, sent_at: now, stage: Stage::Waiting });
+        call.attempt = Some(Attempt { number, server, sent_at: now, written: 0, stage: Stage::Waiting });
         if timeout_ms > 0.0 {
             self.timers.set(now + timeout_ms, Due::AttemptOver(id, number));
         }
@@ -434,7 +462,7 @@
                 Decision::Retried { server: name, attempt: number }
             }
         });
-        match self.connection_to(server, out) {
+        match self.connection_for(id, server, out) {
             Some(conn) => self.write_set_up(id, conn, out),
             None => self.timers.set(now + self.host.dial_timeout_ms, Due::DialOver(id, number)),
         }
@@ -444,6 +472,8 @@
         let Some(call) = self.calls.live.get_mut(&id) else { return };
         let Some(attempt) = &mut call.attempt else { return };
         attempt.stage = Stage::Out(conn);
+        self.calls.written += 1;
+        attempt.written = self.calls.written;
         call.reach = call.reach.max(Reach::Sent);
         let message = ToServer::SetUp {
             call: id,
@@ -496,11 +526,39 @@
         if let Some(Stage::Ending(on, outcome)) = stage
             && on == conn
         {
+            self.note_unsettled(id, conn);
             self.note_may_stand(id);
             self.end_attempt(id, outcome, LoadReport::default());
         }
     }
 
+    /// An attempt of this call at the call server of this connection is given up there: until the call server has read so,
+    /// no further one goes to it.
+    pub(super) fn note_unsettled(&mut self, id: CallId, conn: ServerConn) {
+        let Some(server) = self.fleet.server_of(conn) else { return };
+        if self.calls.live.get(&id).is_none_or(|c| c.answered) {
+            return;
+        }
+        self.calls.written += 1;
+        self.calls.unsettled.note(Unsettled { call: id, server, conn, written: self.calls.written });
+        self.news.push_back(module::Event::Barred { call: id, server });
+    }
+
+    /// Attempts have ended at their call servers too: calls that have no other there may go there again.
+    pub(super) fn settled(&mut self, settled: Vec<Unsettled>) {
+        for Unsettled { call, server, .. } in settled {
+            if !self.calls.unsettled.any(call, server) {
+                self.news.push_back(module::Event::Unbarred { call, server });
+            }
+        }
+    }
+
+    /// A call server speaks of a set-up: it has read what was written on that connection before.
+    pub(super) fn note_read(&mut self, conn: ServerConn, up_to: u64) {
+        let settled = self.calls.unsettled.take_read(conn, up_to);
+        self.settled(settled);
+    }
+
     /// The call server may not have heard of the end of this call's attempt, or of the call: it may stand there still.
     pub(super) fn note_may_stand(&mut self, id: CallId) {
         if let Some(call) = self.calls.live.get_mut(&id) {
@@ -508,8 +566,9 @@
         }
     }
 
-    /// The connection of these attempts is lost: they are reset, or ended as was being written.
-    pub(super) fn end_on(&mut self, conn: ServerConn) {
+    /// The connection of these attempts is lost: they are reset, or ended as was being written. `noticed`: the call server
+    /// knows of it.
+    pub(super) fn end_on(&mut self, conn: ServerConn, noticed: bool) {
         let stage_on = |c: &Call| match c.attempt.as_ref().map(|a| a.stage) {
             Some(Stage::Out(on)) if on == conn => Some(Outcome::Reset),
             Some(Stage::Ending(on, outcome)) if on == conn => Some(outcome),
@@ -518,6 +577,9 @@
         let ended: Vec<_> =
             self.calls.live.iter().filter_map(|(&id, c)| stage_on(c).map(|how| (id, how))).collect();
         for (id, outcome) in ended {
+            if !noticed {
+                self.note_unsettled(id, conn);
+            }
             self.note_may_stand(id);
             self.end_attempt(id, outcome, LoadReport::default());
         }
@@ -527,6 +589,9 @@
     pub(super) fn end_attempt(&mut self, id: CallId, outcome: Outcome, report: LoadReport) {
         let Some(call) = self.calls.live.get_mut(&id) else { return };
         let Some(attempt) = call.attempt.take() else { return };
+        if let Stage::Out(conn) | Stage::Ending(conn, _) = attempt.stage {
+            call.tried.push(EndedAttempt { server: attempt.server, conn, at: self.now });
+        }
         if matches!(outcome, Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled) {
             call.guard_until = self.now + self.guard_ms;
         }
@@ -549,6 +614,18 @@
     }
 }
 
+impl Call {
+    /// Whether what this call server says of it on this connection is of an attempt that ended, and not of the one that is
+    /// out there on another.
+    pub(super) fn is_of_ended_attempt(&self, server: ServerId, conn: ServerConn) -> bool {
+        let out_on = match self.attempt.as_ref().filter(|a| a.server == server).map(|a| a.stage) {
+            Some(Stage::Out(on) | Stage::Ending(on, _)) => on,
+            Some(Stage::Unpaid | Stage::Waiting) | None => return false,
+        };
+        out_on != conn && self.tried.iter().any(|ended| ended.server == server && ended.conn == conn)
+    }
+}
+
 impl Attempt {
     fn waits_for(&self, server: ServerId) -> bool {
         self.server == server && self.stage == Stage::Waiting
--- a/src/engine/fleet.rs
+++ b/src/engine/fleet.rs
@@ -169,6 +169,12 @@
         !self.closing.is_empty()
     }
 
+    /// The call server of a connection, open or closed from here.
+    pub(super) fn server_of(&self, conn: ServerConn) -> Option<ServerId> {
+        let closing = || self.closing.get(&conn).map(|closing| closing.server);
+        self.by_conn.get(&conn).copied().or_else(closing).or_else(|| self.unnoticed.get(&conn).copied())
+    }
+
     /// Whether a call server may take this connection for open although it was closed from here.
     pub(super) fn is_unnoticed(&self, conn: ServerConn) -> bool {
         self.closing.contains_key(&conn) || self.unnoticed.contains_key(&conn)
@@ -262,6 +268,8 @@
         if let Some(at) = started_at.filter(|_| started_at != old.started_at) {
             // Another process: what stood at the one before was cut with it.
             server.returned = None;
+            let settled = self.calls.unsettled.take_at(id);
+            self.settled(settled);
             self.cut(id, at, out);
             // One that was down is looked for soon, not at its turn in the fleet's pacing.
             let down = self.fleet.servers.get(&id).is_some_and(|s| s.conns.is_empty());
@@ -297,13 +305,22 @@
 
     // ---- connections ----
 
-    /// An open connection; if there is none, one is on its way.
-    pub(super) fn connection_to(&mut self, server: ServerId, out: &mut Vec<Effect>) -> Option<ServerConn> {
-        let conn = self.in_turn(server);
-        if conn.is_none() && self.fleet.servers.get(&server).is_some_and(|s| !s.dialling()) {
+    /// An open connection for a set-up of this call; if there is none, one is on its way.
+    pub(super) fn connection_for(
+        &mut self,
+        call: CallId,
+        server: ServerId,
+        out: &mut Vec<Effect>,
+    ) -> Option<ServerConn> {
+        let tried = self.calls.tried_on_since(call, server, self.now - self.guard_ms);
+        let conn = self.in_turn(server, &tried);
+        // What ended the attempt before may come once more on its connection, and would be taken for this one's.
+        let doubtful = conn.is_some_and(|conn| tried.contains(&conn)) && !self.crowded(server);
+        if (conn.is_none() || doubtful) && self.fleet.servers.get(&server).is_some_and(|s| !s.dialling()) {
             self.dial(server, out);
         }
-        conn
+        let dialling = self.fleet.servers.get(&server).is_some_and(Server::dialling);
+        conn.filter(|_| !(doubtful && dialling))
     }
 
     pub(super) fn dial(&mut self, server: ServerId, out: &mut Vec<Effect>) {
@@ -386,6 +403,7 @@
         log::info!("connection {} to {}: open, one of {open}", conn.0, s.listing.name);
         for call in std::mem::take(&mut s.owed) {
             out.push(Effect::ToServer { conn, message: ToServer::Release(call), confirm: false });
+            self.note_unsettled(call, conn);
         }
         self.write_waiting(server, conn, out);
     }
@@ -396,9 +414,11 @@
         }
         let one_too_many = self.one_too_many(conn);
         let was_open = self.fleet.is_open(conn);
-        let Some((server, lived_ms)) = self.drop_conn(conn) else { return };
+        let Some((server, lived_ms)) = self.drop_conn(conn, how != Lost::Abandoned) else { return };
         if how == Lost::Abandoned {
             self.fleet.unnoticed.insert(conn, server);
+        } else {
+            self.note_noticed(conn);
         }
         let Some(s) = self.fleet.servers.get_mut(&server) else { return };
         let alone = s.conns.iter().all(|c| c.witness);
@@ -415,6 +435,8 @@
             // Nothing listens: the process is dead, and what stood there was cut with it. With a connection open
             // it only takes no more of them.
             Lost::Refused if alone => {
+                let settled = self.calls.unsettled.take_at(server);
+                self.settled(settled);
                 self.cut(server, f64::INFINITY, out);
                 self.close_all(server, CloseReason::Vanished, out);
             }
@@ -447,23 +469,24 @@
     }
 
     /// The one place where a connection to a call server is given back, with how long it was there, ms; attempts
-    /// on it end with it.
-    fn drop_conn(&mut self, conn: ServerConn) -> Option<(ServerId, f64)> {
-        let server = self.fleet.by_conn.remove(&conn)?;
+    /// on it end with it. `noticed`: the call server knows of its end.
+    fn drop_conn(&mut self, conn: ServerConn, noticed: bool) -> Option<(ServerId, f64)> {
+        let server = *self.fleet.by_conn.get(&conn)?;
         let mut lived_ms = 0.0;
         if let Some(s) = self.fleet.servers.get_mut(&server)
             && let Some(i) = s.conns.iter().position(|c| c.id == conn)
         {
             lived_ms = self.now - s.conns.remove(i).opened_at;
         }
-        self.end_on(conn);
+        self.end_on(conn, noticed);
+        self.fleet.by_conn.remove(&conn);
         self.probes_lost(conn);
         Some((server, lived_ms))
     }
 
     /// Closes a connection to a call server from here; what the server has said by then is still heard.
     pub(super) fn close(&mut self, conn: ServerConn, reason: CloseReason, out: &mut Vec<Effect>) {
-        if let Some((server, _)) = self.drop_conn(conn) {
+        if let Some((server, _)) = self.drop_conn(conn, false) {
             log::info!("connection {} to {}: closed, {reason}", conn.0, self.fleet.name(server));
             let until = self.now + READ_OUT_MS;
             self.fleet.closing.insert(conn, Closing { server, until });
@@ -516,6 +539,8 @@
         let Some(Closing { server, .. }) = self.fleet.closing.remove(&conn) else { return };
         if how == Lost::Abandoned {
             self.fleet.unnoticed.insert(conn, server);
+        } else {
+            self.note_noticed(conn);
         }
         if how == Lost::Reset && self.calls.any_standing_set_up_on(conn) {
             // What was on its way there is lost, and is told on the next that opens.
@@ -524,10 +549,18 @@
         self.tell_servers_left(out);
     }
 
+    /// The call server knows that this connection has ended: so have the attempts on it.
+    fn note_noticed(&mut self, conn: ServerConn) {
+        let settled = self.calls.unsettled.take_on(conn);
+        self.settled(settled);
+    }
+
     /// Forgets the connections that no call and no attempt is waited for on any more.
     pub(super) fn forget_unnoticed(&mut self) {
         let calls = &self.calls;
-        self.fleet.unnoticed.retain(|&conn, _| calls.any_standing_set_up_on(conn));
+        self.fleet
+            .unnoticed
+            .retain(|&conn, _| calls.unsettled.any_on(conn) || calls.any_standing_set_up_on(conn));
     }
 
     /// The program is about to end: what call servers tell from now on is for the next process, which has callers to pass
@@ -656,6 +689,7 @@
         match own.or_else(|| self.fleet.best(server)) {
             Some(conn) => {
                 out.push(Effect::ToServer { conn, message: ToServer::Release(call), confirm: false });
+                self.note_unsettled(call, conn);
             }
             None => {
                 if let Some(s) = self.fleet.servers.get_mut(&server).filter(|s| s.owed.len() < OWED_MAX) {
--- a/src/engine/liveness.rs
+++ b/src/engine/liveness.rs
@@ -258,7 +258,7 @@
     }
 
     /// It has no room for a connection beside the ones that are open.
-    fn crowded(&self, server: ServerId) -> bool {
+    pub(super) fn crowded(&self, server: ServerId) -> bool {
         self.fleet.servers.get(&server).is_some_and(|s| self.now < s.crowded_until)
     }
 
@@ -294,12 +294,16 @@
         waits(c.heard_at) && self.calls.oldest_on(c.id).is_some_and(waits)
     }
 
-    /// The connection for the next set-up: those on which something was heard take turns. One that is quiet comes last.
-    pub(super) fn in_turn(&mut self, server: ServerId) -> Option<ServerConn> {
+    /// The connection for the next set-up: those on which something was heard take turns. One that is quiet comes last, and
+    /// before it one of `used`, on which a word of an earlier attempt of the same call may come once more.
+    pub(super) fn in_turn(&mut self, server: ServerId, used: &[ServerConn]) -> Option<ServerConn> {
         let s = self.fleet.servers.get(&server)?;
         let sound =
             s.conns.iter().filter(|c| c.open && !c.witness && c.heard && !c.turned_away && !self.quiet(c));
-        let conn = sound.min_by_key(|c| c.turn).map(|c| c.id).or_else(|| self.fleet.best(server))?;
+        let conn = sound
+            .min_by_key(|c| (used.contains(&c.id), c.turn))
+            .map(|c| c.id)
+            .or_else(|| self.fleet.best(server))?;
         let (now, s) = (self.now, self.fleet.servers.get_mut(&server)?);
         let last = s.conns.iter().map(|c| c.turn).max().unwrap_or(0);
         s.conns.iter_mut().filter(|c| c.id == conn).for_each(|c| c.turn = last + 1);
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -27,6 +27,7 @@
 #[cfg(test)]
 mod tests;
 mod timers;
+mod unsettled;
 
 pub use messages::*;
 pub use shares::{BudgetFigures, ShareFigures};
--- a/src/engine/shares/held.rs
+++ b/src/engine/shares/held.rs
@@ -91,8 +91,13 @@
         let pay = |shares: &mut Parts, payment: &Payment, room| shares.pay(payment, server, room, times);
         let Some(paid) = self.with_payment(id, server, pay) else { return Paid::Now };
         if let (Paid::Later(wait_ms, budget), Some(call)) = (paid, self.calls.live.get_mut(&id)) {
-            call.attempt =
-                Some(Attempt { number: call.attempts, server, sent_at: self.now, stage: Stage::Unpaid });
+            call.attempt = Some(Attempt {
+                number: call.attempts,
+                server,
+                sent_at: self.now,
+                written: 0,
+                stage: Stage::Unpaid,
+            });
             call.attempts += 1;
             call.held_from = call.held_from.or(Some(now));
             let worth = self.worths.get(call.class).copied().unwrap_or_default();
--- a/src/engine/tests.rs
+++ b/src/engine/tests.rs
@@ -9,7 +9,7 @@
 /// An engine with peers and probes, and one call server on one open connection.
 pub(super) fn engine() -> (Engine, ServerId, ServerConn) {
     let settings = json!({"siblings": 5, "services": [{"name": "voice", "deadline_ms": 9000.0, "target_ms": 1500.0,
-        "worth": 1.0}], "ceilings": {"attempts_cap": 5, "probing": true, "may_tell": true, "dial_timeout_ms": 500.0},
+        "worth": 1.0}], "ceilings": {"attempts_cap": 5, "cancel": true, "probing": true, "may_tell": true, "dial_timeout_ms": 500.0},
         "rules": {"cold_from": 0.3, "cold_ms": 9000.0, "fall_multiple": 2.5, "fall_ms": 1500.0},
         "specifics": {"guard_ms": 300.0}});
     let text = settings.to_string();
--- /dev/null
+++ b/src/engine/unsettled.rs
@@ -0,0 +1,56 @@
+//! Attempts that were given up here and may not have ended at their call server yet.
+//!
+//! Messages name a call and no attempt, and what is written or heard on one connection can pass what is on another. As long
+//! as the call server may not have read that an attempt is given up, a further attempt of the same call there could be cut
+//! by the late release, or be taken for the end of the first. So the call goes to no such server.
+
+use super::ServerConn;
+use crate::interface::{CallId, ServerId};
+
+/// An attempt, or a call that stood unknown here, which was given up by a release or with its connection.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) struct Unsettled {
+    pub(super) call: CallId,
+    pub(super) server: ServerId,
+    pub(super) conn: ServerConn,
+    /// The place among all that was written to call servers of what gave it up.
+    pub(super) written: u64,
+}
+
+/// All of them, of calls that may still be tried.
+#[derive(Debug, Default)]
+pub(super) struct UnsettledAttempts(Vec<Unsettled>);
+
+impl UnsettledAttempts {
+    pub(super) fn note(&mut self, unsettled: Unsettled) {
+        self.0.push(unsettled);
+    }
+
+    /// Whether an attempt of this call at this call server may not have ended there.
+    pub(super) fn any(&self, call: CallId, server: ServerId) -> bool {
+        self.0.iter().any(|u| u.call == call && u.server == server)
+    }
+
+    pub(super) fn any_on(&self, conn: ServerConn) -> bool {
+        self.0.iter().any(|u| u.conn == conn)
+    }
+
+    pub(super) fn forget(&mut self, call: CallId) {
+        self.0.retain(|u| u.call != call);
+    }
+
+    /// The call server has read what was written on this connection up to this place. Returns what is settled by it.
+    pub(super) fn take_read(&mut self, conn: ServerConn, up_to: u64) -> Vec<Unsettled> {
+        self.0.extract_if(.., |u| u.conn == conn && u.written < up_to).collect()
+    }
+
+    /// The call server knows that this connection has ended.
+    pub(super) fn take_on(&mut self, conn: ServerConn) -> Vec<Unsettled> {
+        self.take_read(conn, u64::MAX)
+    }
+
+    /// The call server's process is gone, and what was open there with it.
+    pub(super) fn take_at(&mut self, server: ServerId) -> Vec<Unsettled> {
+        self.0.extract_if(.., |u| u.server == server).collect()
+    }
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -170,6 +170,10 @@
     Call(Call),
     /// The caller left, or its time ran out.
     CallerLeft(CallId),
+    /// An attempt of this call was given up at this server, which may not know yet: no further one goes there.
+    Barred { call: CallId, server: ServerId },
+    /// The server knows: the call may go there again.
+    Unbarred { call: CallId, server: ServerId },
     /// The call stands.
     Standing { call: CallId, server: ServerId, after_ms: f64 },
     /// An attempt ended. `closed`: the call needs no further answer.
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -303,6 +303,8 @@
     attempts: u32,
     /// The server that answered it with an error.
     faulted: Option<ServerId>,
+    /// Servers that may not know yet that an attempt of it there is over.
+    barred: Vec<ServerId>,
     /// The attempt out, if any.
     out: Option<Attempt>,
     /// Guard after a timeout, reset or cancellation.
@@ -379,6 +381,16 @@
             Event::CallerLeft(id) => {
                 self.let_go(id, out);
             }
+            Event::Barred { call, server } => {
+                if let Some(live) = self.calls.get_mut(&call) {
+                    live.barred.push(server);
+                }
+            }
+            Event::Unbarred { call, server } => {
+                if let Some(live) = self.calls.get_mut(&call) {
+                    live.barred.retain(|&barred| barred != server);
+                }
+            }
             Event::Standing { call, server, after_ms } => self.stands(now, call, server, after_ms),
             Event::Ended { call, server, outcome, closed, report } => {
                 self.read_end(now, call, server, outcome, &report, out);
@@ -743,12 +755,16 @@
         self.settings.barred_places.get(call.class).is_none_or(|barred| !barred.contains(&s.place))
     }
 
+    fn may_go(&self, now: f64, live: &Live, id: ServerId, s: &Server) -> bool {
+        self.permits(&live.call, s) && self.open(now, id, s) && !live.barred.contains(&id)
+    }
+
     /// First choice, unless closed or its b refuses; else the allowed server with fewest unanswered set-ups.
     /// Where every b refuses the plain draw, a call whose rank still lets it in takes the one that refuses
     /// least: the rank decides who is refused, not where a call goes, or dear calls would pile on one line.
     fn choose(&self, now: f64, live: &Live) -> Option<ServerId> {
         // Where a call got an error it goes only if there is nowhere else.
-        let open = |id: ServerId, s: &Server| self.permits(&live.call, s) && self.open(now, id, s);
+        let open = |id: ServerId, s: &Server| self.may_go(now, live, id, s);
         let signs = self.signs(now);
         let first = |s: &Server| Some(s.place) == live.call.first_choice;
         let other = |id: ServerId| live.faulted != Some(id);
@@ -798,6 +814,7 @@
             hold_until,
             attempts: 0,
             faulted: None,
+            barred: Vec::new(),
             out: None,
             not_before: now,
         };
@@ -828,7 +845,8 @@
             return self.wake(live.not_before, id, out);
         }
         let stay_away_ms = self.stay_away_ms(now, live);
-        let may_hold = now < live.hold_until && live.rank >= HOLD_RANK;
+        // A bar is lifted as soon as the server has read that the attempt there is over.
+        let may_hold = now < live.hold_until && (live.rank >= HOLD_RANK || !live.barred.is_empty());
         let chosen = self.choose(now, live);
         let wanted = |s: &Server| Some(s.place) == live.call.first_choice && s.waiting().next().is_some();
         let closed = self.servers.iter().find(|&(&id, s)| chosen != Some(id) && wanted(s)).map(|(&id, _)| id);
@@ -884,10 +902,7 @@
             && now >= live.not_before
             && now < live.deadline
             && live.attempts < self.settings.max_attempts
-            && self
-                .servers
-                .get(&server)
-                .is_some_and(|s| self.permits(&live.call, s) && self.open(now, server, s));
+            && self.servers.get(&server).is_some_and(|s| self.may_go(now, live, server, s));
         if !allowed {
             return self.wake(now + HOLD_MS, id, out);
         }
