Close a caller's connection for half a message only once its set-ups are answered

Cause: the task of the connection closed it, without knowing what is open there. Now it tells the engine, which closes the connection once nothing is open on it; the rest of the message is taken up if it comes.

--- a/src/engine/caller_close.rs
+++ b/src/engine/caller_close.rs
@@ -54,6 +54,14 @@
         }
     }
 
+    /// The rest of a message does not come. What is open on the connection is answered before it is closed: a request is lost
+    /// if its connection ends without an answer.
+    pub(super) fn caller_stalled(&mut self, conn: CallerConn, out: &mut Vec<Effect>) {
+        if self.calls.first_waiting_on(conn).is_none() {
+            self.close_if_unheard(conn, false, out);
+        }
+    }
+
     /// Closes a connection on which no set-up is open, unless its caller has sent a message that was not heard yet: a
     /// caller sends a set-up again only if it crossed the close by a moment, and that one may have lain for longer.
     /// With `keep_partial` a part of a message keeps the connection as well.
--- a/src/engine/messages.rs
+++ b/src/engine/messages.rs
@@ -324,6 +324,8 @@
     },
     /// The caller sends no more on it, but may still read.
     CallerEof(CallerConn),
+    /// The caller has been in the middle of a message for too long; said again as long as it is.
+    CallerStalled(CallerConn),
     /// `unsent`: what could not be written.
     CallerClosed {
         conn: CallerConn,
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -226,6 +226,7 @@
             Event::CallerOpened(conn) => self.caller_opened(conn, out),
             Event::Caller { conn, read_at, message } => self.hear_caller(conn, read_at, message, out),
             Event::CallerEof(conn) => self.caller_eof(conn, out),
+            Event::CallerStalled(conn) => self.caller_stalled(conn, out),
             Event::CallerClosed { conn, unsent } => self.caller_closed(conn, unsent, out),
             Event::ServerOpened(conn) => self.server_opened(conn, out),
             Event::Server { conn, message } => self.hear_server(conn, message, out),
--- a/src/net/callers.rs
+++ b/src/net/callers.rs
@@ -281,7 +281,7 @@
                     None => Connection::GoesOn,
                 }
             }
-            () = link.halves.due(), if link.reading => link.look_at_halves(),
+            () = link.halves.due(), if link.reading => link.look_at_halves().await,
             message = link.framed.next(), if link.reading => link.pass_on(message).await,
         };
         if next == Connection::Ends {
@@ -380,13 +380,13 @@
         }
     }
 
-    fn look_at_halves(&mut self) -> Connection {
-        match self.halves.look(self.framed.read_buffer()) {
+    /// Half a message that goes no further: the engine closes the connection once no set-up is open on it.
+    async fn look_at_halves(&mut self) -> Connection {
+        let Err(e) = self.halves.look(self.framed.read_buffer()) else { return Connection::GoesOn };
+        self.log_error(&e);
+        match self.events.send(Event::CallerStalled(self.conn)).await {
             Ok(()) => Connection::GoesOn,
-            Err(e) => {
-                self.log_error(&e);
-                Connection::Ends
-            }
+            Err(_) => Connection::Ends,
         }
     }
 
