Give up a peer that takes nothing also where a message waits for the buffer

Seen: of 50 clients that sent tests and read nothing 4 held their descriptor after 24 s, the end of the trial; the bound is 10 s.

Each step of a write to callers and call servers has the bound now.

Test: caller_connection::a_caller_that_takes_no_long_answers_is_given_up, FAILED on the code of before (held after 13 s, the bound of the test then), passes now after 10.0 s.

--- a/src/net/callers.rs
+++ b/src/net/callers.rs
@@ -1,6 +1,6 @@
 //! Callers: the binary codec and their connections.
 
-use super::{HalfMessages, WRITE_STALL};
+use super::{HalfMessages, unless_stalled};
 use crate::clock::Clock;
 use crate::codec::common::{MESSAGE_MAX, bounded, extras};
 use crate::codec::h248::callers::CallerCodec;
@@ -420,7 +420,8 @@
 
 async fn write<C: CallerFront>(framed: &mut Framed<TcpStream, C>, batch: &[ToCaller]) -> io::Result<()> {
     for message in batch {
-        framed.feed(message.clone()).await?;
+        // A full buffer is written out before the message is added to it.
+        unless_stalled(framed.feed(message.clone())).await?;
     }
-    timeout(WRITE_STALL, framed.flush()).await.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?
+    unless_stalled(framed.flush()).await
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -26,6 +26,17 @@
 /// So many looks after the one that first saw it, half a message has lain too long.
 const HALF_LOOKS: u32 = 4;
 
+/// Waits for a step of writing, as long as the peer takes anything.
+///
+/// # Errors
+/// `TimedOut` if the step has not come to its end in time, or the error that it ended with.
+async fn unless_stalled(step: impl Future<Output = std::io::Result<()>>) -> std::io::Result<()> {
+    match tokio::time::timeout(WRITE_STALL, step).await {
+        Ok(written) => written,
+        Err(_) => Err(std::io::ErrorKind::TimedOut.into()),
+    }
+}
+
 /// Looks for half a message that goes no further. Once it has lain so long with nothing whole between, it ends its
 /// connection: what would follow it can't be told apart, and the peer may never send the rest. Looks are counted, and no
 /// clock is read: a look that came a moment early would find the time not quite over, and leave it to the next one.
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -1,7 +1,7 @@
 //! Call servers: the JSON-lines codec and the connections to them.
 
 use super::write_batch::given_up_unwritten;
-use super::{HalfMessages, WRITE_STALL};
+use super::{HalfMessages, unless_stalled};
 use crate::codec::common::{MESSAGE_MAX, NORMAL, RESET, ending, load};
 use crate::codec::unreadable::{Unreadable, at_end};
 use crate::engine::{Event, FromServer, Lost, ServerConn, ToServer};
@@ -339,10 +339,11 @@
     let given_up = given_up_unwritten(batch);
     for (place, (message, _)) in batch.iter().enumerate() {
         if !given_up.contains(&place) {
-            framed.feed(message).await?;
+            // A full buffer is written out before the message is added to it.
+            unless_stalled(framed.feed(message)).await?;
         }
     }
-    timeout(WRITE_STALL, framed.flush()).await.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?
+    unless_stalled(framed.flush()).await
 }
 
 /// Writes what the protocol owes the call server for what it said.
@@ -352,7 +353,7 @@
         return Ok(());
     }
     framed.write_buffer_mut().extend_from_slice(&replies);
-    timeout(WRITE_STALL, framed.flush()).await.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?
+    unless_stalled(framed.flush()).await
 }
 
 async fn confirm(batch: Vec<Order>, conn: ServerConn, events: &mpsc::Sender<Event>) -> io::Result<()> {
