--- a/tests/process/bad_input.rs
+++ b/tests/process/bad_input.rs
@@ -6,7 +6,7 @@
 use crate::{stand, two};
 use corkreach::codec::h248::tree::Token;
 use corkreach::rate_limited_log::{BadInput, SPAN_MS};
-use serde_json::{Value, json};
+use serde_json::json;
 use std::io::{ErrorKind, Write};
 use std::net::Shutdown;
 use std::time::{Duration, Instant};
@@ -148,23 +148,27 @@
 /// Longer than half a message is waited for where nothing else is open on its connection.
 const STALLED_FOR: Duration = Duration::from_millis(3600);
 
-/// No attempt is called off and sent elsewhere before its time is over.
-fn forbid_cancelling(program: &Program) {
-    let mut config: Value = serde_json::from_str(&program.file()).unwrap();
-    config["settings"]["ceilings"]["cancel"] = false.into();
-    program.reload(&config.to_string());
-    program.log_lines();
+/// The caller stalls, while the call server tells its state now and then, so that it does not count as silent.
+fn stall(server: &Server, first: &mut Link) {
+    let since = Instant::now();
+    let mut others = Vec::new();
+    while since.elapsed() < STALLED_FOR {
+        others.extend(server.try_accept_mute());
+        others.iter_mut().for_each(Link::gauge);
+        first.gauge();
+        std::thread::sleep(Duration::from_millis(100));
+    }
 }
 
 /// Guards against a set-up that loses its answer, as its connection is closed for the half message behind it.
 #[test]
 fn half_a_message_that_stalls_takes_no_answer_away() {
-    let (_a, _b, program, _names, mut la, _lb, mut caller) = two();
-    forbid_cancelling(&program);
+    let (a, _b, program, _names, mut la, _lb, mut caller) = two();
+    program.forbid_cancelling();
     caller.set_up(7, 0, 9000);
     la.expect("new", 7);
     caller.stream.write_all(&HALF).unwrap();
-    std::thread::sleep(STALLED_FOR);
+    stall(&a, &mut la);
     la.up(7);
     caller.expect(9, 7, None);
     assert_eq!(caller.hear(), None, "nothing is open on it any more");
@@ -173,14 +177,14 @@
 /// The rest of the message comes after all, while a set-up is open: it is taken up.
 #[test]
 fn half_a_message_that_goes_on_while_a_set_up_is_open_is_taken_up() {
-    let (_a, _b, program, _names, mut la, mut lb, mut caller) = two();
-    forbid_cancelling(&program);
+    let (a, _b, program, _names, mut la, mut lb, mut caller) = two();
+    program.forbid_cancelling();
     caller.set_up(7, 0, 9000);
     la.expect("new", 7);
     let bytes = Caller::set_up_bytes(8, 1, 9000);
     let (first, rest) = bytes.split_at(bytes.len() / 2);
     caller.stream.write_all(first).unwrap();
-    std::thread::sleep(STALLED_FOR);
+    stall(&a, &mut la);
     caller.stream.write_all(rest).unwrap();
     lb.expect("new", 8);
     lb.up(8);
--- a/tests/process/planned_stop.rs
+++ b/tests/process/planned_stop.rs
@@ -3,7 +3,6 @@
 
 use crate::rig::*;
 use crate::{stand, two};
-use serde_json::Value;
 use std::io::Write;
 use std::time::{Duration, Instant};
 
@@ -15,11 +14,7 @@
 #[test]
 fn a_stop_answers_what_a_hanging_server_holds_before_the_kill() {
     let (_a, _b, program, _names, mut la, _lb, mut caller) = two();
-    // Nothing is called off and sent elsewhere before its time is over.
-    let mut config: Value = serde_json::from_str(&program.file()).unwrap();
-    config["settings"]["ceilings"]["cancel"] = false.into();
-    program.reload(&config.to_string());
-    program.log_lines();
+    program.forbid_cancelling();
     caller.set_up(7, 0, 9000);
     la.expect("new", 7);
     let stopped = Instant::now();
--- a/tests/process/rig.rs
+++ b/tests/process/rig.rs
@@ -640,6 +640,18 @@
         self.signal("-HUP");
     }
 
+    /// No attempt is called off and sent elsewhere before its time is over. Returns once the program goes by that.
+    pub fn forbid_cancelling(&self) {
+        let mut config = self.config.clone();
+        config["settings"]["ceilings"]["cancel"] = false.into();
+        self.reload(&config.to_string());
+        let since = Instant::now();
+        while !self.log.lock().unwrap().iter().any(|line| line.contains("configuration read again")) {
+            assert!(since.elapsed() < PATIENCE, "the program does not read its configuration again");
+            std::thread::sleep(Duration::from_millis(2));
+        }
+    }
+
     /// All lines logged so far: a reload that fails is logged after them, and is waited for. It replaces the
     /// configuration's file.
     pub fn log_lines(&self) -> Vec<String> {
