Tell an end to a caller that shut its side and waits for another answer

Such a caller listens, so the end is told there where no other connection is; if it has gone, its connection is reset and the end goes elsewhere, as any that crosses a close.

Test: an_end_is_told_to_a_caller_that_shut_its_side_and_waits_for_an_answer, FAILED before (the other set-up's answer came first).

--- a/src/engine/release_delivery.rs
+++ b/src/engine/release_delivery.rs
@@ -248,7 +248,9 @@
             let open = conns.iter().filter(|(_, c)| c.open && c.calls);
             open.max_by(|(_, a), (_, b)| a.heard_at.total_cmp(&b.heard_at)).map(|(&id, _)| id)
         };
-        if let Some(conn) = own.or_else(last) {
+        // A caller that shut its side with a set-up open listens for its answer.
+        let shut = || self.calls.waiting_on().find(|conn| conns.contains_key(conn));
+        if let Some(conn) = own.or_else(last).or_else(shut) {
             self.callers.releases.sent.push_back(Sent { at: self.now, conn, end });
             out.push(Effect::ToCaller { conn, message: end.message() });
         } else {
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -369,6 +369,23 @@
     assert_eq!(told, 1);
 }
 
+/// Guards against an end that waits for the answer of another set-up: its caller had shut its side of the only connection, and
+/// listens there.
+#[test]
+fn an_end_is_told_to_a_caller_that_shut_its_side_and_waits_for_an_answer() {
+    let (_a, _b, _program, _names, mut la, _lb, mut caller) = two();
+    stand(&mut caller, &mut la, 7);
+    caller.set_up(8, 0, 9000);
+    la.expect("new", 8);
+    caller.stream.shutdown(std::net::Shutdown::Write).unwrap();
+    // Progress: the program has seen that the side is shut.
+    assert_eq!(caller.hear().map(|heard| heard.0), Some(PROGRESS));
+    la.down(7, 16, json!({}));
+    caller.expect(12, 7, Some(16));
+    la.up(8);
+    caller.expect(9, 8, None);
+}
+
 /// A caller closes its connection while a release is on its way there: it goes out again on the next.
 #[test]
 fn a_release_that_crosses_a_close_goes_out_again() {
