--- a/tests/soak/checkers.rs
+++ b/tests/soak/checkers.rs
@@ -4,10 +4,10 @@
 use crate::check::{Rule, check};
 use crate::folder;
 use crate::node::Played;
-use crate::record::{Process, Record};
+use crate::record::{Final, FinalKind, Process, Record, SetUp};
 use crate::stand_in::Flaw;
 use crate::trial::{Fault, Plan, play};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicU8, Ordering};
 
 /// Trials of the checks play in networks of their own, behind those of the seeds.
@@ -132,6 +132,39 @@
     }
 }
 
+/// A call server answered the request, and its process was killed, or was not: the release of the call comes from the next one.
+#[test]
+fn a_release_after_a_kill_is_no_late_answer_and_any_other_is() {
+    let terms = calm(Flaw::None).terms();
+    let failed = Final { at: 9000.0, kind: FinalKind::Failed, stay_away_ms: None };
+    let refused = Final { kind: FinalKind::Refused, ..failed.clone() };
+    let cases = [
+        (None, Some(1200.0), failed.clone()),
+        (Some(Rule::LostRequest), None, failed),
+        (Some(Rule::LostRequest), Some(1200.0), refused),
+    ];
+    for (rule, killed_at, answer) in cases {
+        let killed = Process {
+            killed_at,
+            stopped_at: Some(100.0),
+            ended: Some((1300.0, "exit status: 0".into())),
+            ..sound()
+        };
+        let next = Process { started_at: 1400.0, ready_at: Some(1500.0), ..sound() };
+        let set_up =
+            SetUp { wait_ms: 500.0, sent_at: Some(700.0), finals: vec![answer.clone()], ..SetUp::default() };
+        let record = Record {
+            set_ups: BTreeMap::from([(7, set_up)]),
+            given: BTreeMap::from([(7, vec!["answered".to_owned()])]),
+            processes: vec![killed, next],
+            ended_at: 60_000.0,
+            ..Record::default()
+        };
+        let seen: Vec<Rule> = check(&record, &terms).iter().map(|b| b.rule).collect();
+        assert_eq!(seen, Vec::from_iter(rule), "{killed_at:?}, {answer:?}");
+    }
+}
+
 #[test]
 fn a_process_that_crashes_is_late_or_takes_too_much_is_caught() {
     let terms = calm(Flaw::None).terms();
