Send no set-up of a caller that had left before it was read

Cause: the end of a stream counted once it was read, though the system knows of it with the data before it. Where it does, set-ups are held for 80 ms behind a progress message: a caller that is gone resets the connection, one that listens is served.

Tests: crossings::set_ups_of_a_caller_that_left_before_they_were_read_are_not_sent, FAILED before (the set-up was sent), passes now; a_set_up_of_a_caller_that_shut_its_side_before_it_was_read_is_answered passes before and after.

--- a/src/engine/caller_close.rs
+++ b/src/engine/caller_close.rs
@@ -3,7 +3,7 @@
 //! A connection without a set-up is closed in two steps: the engine asks for it (`Effect::CloseIdleCaller`) and goes on
 //! hearing it until the connection's task, which alone sees what has come in, says that it is closed.
 
-use super::callers::Conn;
+use super::callers::{CallerPresence, Conn};
 use super::operators::FIRST_WORD_MS;
 use super::stop::LAST_LOOK_MS;
 use super::{CallerConn, Due, Effect, Engine, ToCaller};
@@ -13,6 +13,8 @@
 /// A caller that has shut its side may listen still or be gone: while a set-up of it is open it is looked at so often,
 /// ms. Two looks, within the 0.1 s after which nothing may be done for a caller that is gone.
 const SHUT_LOOK_MS: f64 = 40.0;
+/// A caller that is gone has shown so by a reset within this of a progress message to it, ms.
+const GONE_SHOWS_MS: f64 = 80.0;
 
 impl Engine {
     pub(super) fn make_room_if_crowded(&mut self, new: CallerConn, out: &mut Vec<Effect>) {
@@ -78,6 +80,24 @@
         }
     }
 
+    /// The program was behind with its reading, and the caller has shut its side meanwhile: the set-ups that are read from here on
+    /// go nowhere before it shows whether it listens.
+    pub(super) fn caller_shut_early(&mut self, conn: CallerConn) {
+        if let Some(c) = self.callers.conns.get_mut(&conn) {
+            c.presence = CallerPresence::Questioned;
+            self.timers.set(self.now + GONE_SHOWS_MS, Due::CallerListens(conn));
+        }
+    }
+
+    /// The progress messages to a caller brought no reset: what was held for it is handed to the module.
+    pub(super) fn caller_listens(&mut self, conn: CallerConn) {
+        let Some(c) = self.callers.conns.get_mut(&conn) else { return };
+        c.presence = CallerPresence::Shown;
+        for call in self.calls.ids(|c| c.conn == conn && c.held.is_some()) {
+            self.admit_held(call);
+        }
+    }
+
     /// A caller may shut its side and still wait for answers: they go out before the connection is closed.
     pub(super) fn caller_eof(&mut self, conn: CallerConn, out: &mut Vec<Effect>) {
         if let Some(c) = self.callers.conns.get_mut(&conn) {
--- a/src/engine/callers.rs
+++ b/src/engine/callers.rs
@@ -18,12 +18,25 @@
 const OPEN_MAX: usize = 512;
 const PASSED_ON_MAX: u32 = 64;
 
+/// Whether a caller is there to hear an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum CallerPresence {
+    /// Nothing speaks against it.
+    Unquestioned,
+    /// It had shut its side before its set-ups were read: they are held until a progress message shows whether it listens.
+    Questioned,
+    /// The progress message brought no reset.
+    Shown,
+}
+
 /// A caller's connection.
 pub(super) struct Conn {
     /// The caller may send more on it.
     pub(super) open: bool,
     /// It is to make room, and closes unless its caller is heard first.
     pub(super) leaving: bool,
+    /// What is known of the presence of its caller.
+    pub(super) presence: CallerPresence,
     /// Messages heard on it.
     pub(super) heard: u64,
     /// It has sent a whole message.
@@ -57,6 +70,10 @@
         self.conns.get(&conn).is_some_and(|c| !c.open)
     }
 
+    pub fn presence(&self, conn: CallerConn) -> CallerPresence {
+        self.conns.get(&conn).map_or(CallerPresence::Unquestioned, |c| c.presence)
+    }
+
     /// Connections that are to stay.
     pub(super) fn staying(&self) -> usize {
         self.conns.values().filter(|c| !c.leaving).count()
@@ -68,6 +85,7 @@
         let new = Conn {
             open: true,
             leaving: false,
+            presence: CallerPresence::Unquestioned,
             heard: 0,
             asked: false,
             calls: false,
--- a/src/engine/calls.rs
+++ b/src/engine/calls.rs
@@ -1,5 +1,6 @@
 //! Calls and their attempts: from the set-up to the one final answer, and to the release of what stood.
 
+use super::callers::CallerPresence;
 use super::ended_calls::{EndedCalls, Reach};
 use super::shares::Paid;
 use super::unsettled::{Unsettled, UnsettledAttempts};
@@ -68,6 +69,8 @@
     pub(super) standing: Option<Standing>,
     /// How far it came.
     pub(super) reach: Reach,
+    /// What the module is told of it once its caller has shown to listen.
+    pub(super) held: Option<module::Call>,
 }
 
 #[derive(Default)]
@@ -107,7 +110,7 @@
     /// The set-ups of this connection that wait for their answer and are at no call server.
     pub fn not_out_from(&self, conn: CallerConn) -> Vec<CallId> {
         let is_out = |c: &Call| c.attempt.as_ref().is_some_and(|a| matches!(a.stage, Stage::Out(_)));
-        self.ids(|c| c.conn == conn && !c.answered && !is_out(c))
+        self.ids(|c| c.conn == conn && !c.answered && c.held.is_none() && !is_out(c))
     }
 
     /// The connections of the calls that stand.
@@ -251,7 +254,7 @@
         self.decided(id, out, || Decision::Admitted { class: self.host.classes[class].name.clone() });
         // The time that it lay unread is part of its caller's wait.
         let deadline = read_at.min(self.now) + set_up.wait_ms;
-        self.news.push_back(module::Event::Call(module::Call {
+        let handed = module::Call {
             id,
             class,
             customer: 0,
@@ -259,7 +262,13 @@
             first_choice,
             number: set_up.number.as_deref().and_then(|text| u64::from_str_radix(text, 16).ok()),
             redial: set_up.redial,
-        }));
+        };
+        let held = self.callers.presence(conn) == CallerPresence::Questioned;
+        if held {
+            out.push(Effect::ToCaller { conn, message: ToCaller::Progress(id) });
+        } else {
+            self.news.push_back(module::Event::Call(handed));
+        }
         self.timers.set(deadline, Due::CallOver(id));
         let call = Call {
             conn,
@@ -276,6 +285,7 @@
             tried: Vec::new(),
             standing: None,
             reach: Reach::Unsent,
+            held: held.then_some(handed),
         };
         self.job_takes(id, class, call.number.as_deref());
         self.calls.live.insert(id, call);
@@ -283,6 +293,15 @@
         Ok(())
     }
 
+    /// A set-up that was held goes to the module, with the time that its caller has left.
+    pub(super) fn admit_held(&mut self, id: CallId) {
+        let Some(call) = self.calls.live.get_mut(&id) else { return };
+        let expires_in_ms = (call.deadline - self.now).max(0.0);
+        if let Some(held) = call.held.take().filter(|_| !call.answered) {
+            self.news.push_back(module::Event::Call(module::Call { expires_in_ms, ..held }));
+        }
+    }
+
     /// Figures that no caller in good order sends would only be turned away by a call server, or make it close
     /// the connection that carries others' calls.
     fn in_range(&self, class: &ClassRules, set_up: &SetUp) -> Result<(), Fault> {
@@ -395,7 +414,8 @@
             log::error!("call {:016x} may not be sent", id.0);
             return self.tell_ended(id, server, Outcome::NotSent, false, LoadReport::default());
         };
-        if self.callers.has_shut(call.conn) {
+        let shown = call.attempts == 0 && self.callers.presence(call.conn) == CallerPresence::Shown;
+        if self.callers.has_shut(call.conn) && !shown {
             // It may be gone: no attempt begins for it any more.
             self.tell_ended(id, server, Outcome::NotSent, true, LoadReport::default());
             return self.answer(id, ToCaller::Failed(id), out);
--- a/src/engine/messages.rs
+++ b/src/engine/messages.rs
@@ -322,6 +322,8 @@
         read_at: f64,
         message: FromCaller,
     },
+    /// The caller had shut its side before the messages that follow were read: it may be gone.
+    CallerShutEarly(CallerConn),
     /// The caller sends no more on it, but may still read.
     CallerEof(CallerConn),
     /// The caller has been in the middle of a message for too long; said again as long as it is.
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -75,6 +75,8 @@
     CallerSilent(CallerConn),
     /// The caller has shut its side, and may be gone.
     CallerShut(CallerConn),
+    /// A caller that was seen to have shut its side before its set-ups were read has not shown to be gone.
+    CallerListens(CallerConn),
     Look,
     /// Releases may be offered to a connection that brings no set-up.
     OfferReleases,
@@ -227,6 +229,7 @@
         match event {
             Event::CallerOpened(conn) => self.caller_opened(conn, out),
             Event::Caller { conn, read_at, message } => self.hear_caller(conn, read_at, message, out),
+            Event::CallerShutEarly(conn) => self.caller_shut_early(conn),
             Event::CallerEof(conn) => self.caller_eof(conn, out),
             Event::CallerStalled(conn) => self.caller_stalled(conn, out),
             Event::CallerClosed { conn, unsent } => self.caller_closed(conn, unsent, out),
@@ -296,6 +299,7 @@
             Due::Probe(server) => self.send_probe(server, out),
             Due::ProbeOver(id) => self.probe_over(id),
             Due::CallerSilent(conn) => self.caller_silent(conn, out),
+            Due::CallerListens(conn) => self.caller_listens(conn),
             Due::CallerShut(conn) => self.look_at_shut(conn, out),
             Due::Look => {
                 self.look(out);
--- a/src/net/callers.rs
+++ b/src/net/callers.rs
@@ -12,7 +12,7 @@
 use futures_util::{FutureExt, SinkExt, StreamExt};
 use std::io;
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::task::yield_now;
@@ -261,7 +261,17 @@
 ) {
     let framed = Framed::new(stream, codec);
     let halves = HalfMessages::new(HALF_MAX);
-    let mut link = CallerLink { framed, conn, events, clock, bad_input, halves, reading: true, passed_on: 0 };
+    let mut link = CallerLink {
+        framed,
+        conn,
+        events,
+        clock,
+        bad_input,
+        halves,
+        reading: true,
+        passed_on: 0,
+        shut_early: false,
+    };
     let mut unsent = Vec::new();
     loop {
         let next = tokio::select! {
@@ -323,6 +333,8 @@
     reading: bool,
     /// Messages that the engine hears, or will.
     passed_on: u64,
+    /// The engine knows that the caller had shut its side before the last of its messages were read.
+    shut_early: bool,
 }
 
 impl<C: CallerFront> CallerLink<C> {
@@ -332,6 +344,12 @@
         let conn = self.conn;
         let event = match message {
             Some(Ok(message)) => {
+                if matches!(message, FromCaller::SetUp(_)) && !self.shut_early && self.has_shut() {
+                    self.shut_early = true;
+                    if self.events.send(Event::CallerShutEarly(conn)).await.is_err() {
+                        return Connection::Ends;
+                    }
+                }
                 self.passed_on += 1;
                 Event::Caller { conn, read_at: self.clock.read_at(), message }
             }
@@ -362,6 +380,12 @@
         }
     }
 
+    /// Whether the system knows that the caller has shut its side, though there is more to read.
+    fn has_shut(&self) -> bool {
+        let ready = self.framed.get_ref().ready(Interest::READABLE).now_or_never();
+        ready.is_some_and(|ready| ready.is_ok_and(|ready| ready.is_read_closed()))
+    }
+
     /// Bad input gets a line of the rate-limited log; how a connection failed is of no interest to operators.
     fn log_error(&self, error: &io::Error) {
         match Unreadable::in_error(error) {
--- a/tests/process/crossings.rs
+++ b/tests/process/crossings.rs
@@ -229,3 +229,32 @@
     caller.expect(9, 7, None);
     assert!(caller.test(), "nothing but the test's answer comes");
 }
+
+/// Guards against set-ups that are sent on for a caller that has left: the program stood still, and read them later than its
+/// caller had closed the connection.
+#[test]
+fn set_ups_of_a_caller_that_left_before_they_were_read_are_not_sent() {
+    let (_a, _b, program, _names, mut la, _lb, mut caller) = two();
+    let mut other = program.ready_caller();
+    program.hold();
+    caller.set_up(7, 0, 9000);
+    drop(caller);
+    program.go_on();
+    // What is sent on for a caller that has gone is sent within this.
+    std::thread::sleep(Duration::from_millis(300));
+    other.set_up(8, 0, 9000);
+    la.expect("new", 8);
+}
+
+/// The same for a caller that shut its side only, and listens: its set-up is sent, and it hears the answer.
+#[test]
+fn a_set_up_of_a_caller_that_shut_its_side_before_it_was_read_is_answered() {
+    let (_a, _b, program, _names, mut la, _lb, mut caller) = two();
+    program.hold();
+    caller.set_up(7, 0, 9000);
+    caller.stream.shutdown(Shutdown::Write).unwrap();
+    program.go_on();
+    la.expect("new", 7);
+    la.up(7);
+    caller.expect(9, 7, None);
+}
