Have ends that find no caller at one process told by the one beside it

Change: an end that has found no caller for 0.1 s goes through a folder in $TMPDIR to another process at the address that has callers. Renaming a file takes it, so each end is told by one process.

--- a/src/engine/messages.rs
+++ b/src/engine/messages.rs
@@ -352,6 +352,13 @@
         serial: u32,
         servers: Vec<Listing>,
     },
+    /// These ends were taken over by the exchange with other processes at this address.
+    EndsPassedOn(Vec<UndeliveredEnd>),
+    /// Ends came from that exchange. `own`: this process had given them there.
+    EndsTaken {
+        ends: Vec<UndeliveredEnd>,
+        own: bool,
+    },
     /// A process that served at this address before this one can be told of nothing any more, and has left these ends.
     PredecessorGone(Vec<UndeliveredEnd>),
     /// A timer may be due.
@@ -411,6 +418,8 @@
     AbandonServer(ServerConn),
     /// Call servers can tell this process of nothing any more, and these ends have reached no caller.
     ServersLeft(Vec<UndeliveredEnd>),
+    /// These ends found no caller here: another process at this address may have callers. `EndsPassedOn` follows if there is one.
+    PassOnEnds(Vec<UndeliveredEnd>),
     /// To every other border controller; it may be lost.
     ToPeers(PeerReport),
     /// To be written to the audit log before any effect beside it is carried out.
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -216,6 +216,11 @@
         }
     }
 
+    /// Whether a connection that has brought a call is there, and so a caller to hear of ends.
+    pub fn has_callers(&self) -> bool {
+        self.callers.any_with_calls()
+    }
+
     /// When the next timer is due.
     pub fn next_due(&self) -> Option<f64> {
         self.timers.next_ms()
@@ -239,6 +244,8 @@
             Event::ServerLost { conn, how } => self.server_lost(conn, how, out),
             Event::List { serial, servers } => self.follow_list(serial, servers, out),
             Event::Settings { settings, host } => self.follow_settings(settings, host),
+            Event::EndsPassedOn(ends) => self.callers.releases.forget_owed(&ends),
+            Event::EndsTaken { ends, own } => self.ends_taken(&ends, own, out),
             Event::PredecessorGone(undelivered) => self.predecessor_gone(undelivered, out),
             Event::Tick => {}
             Event::Peer { from, told } => self.hear_peer(from, told),
--- a/src/engine/release_delivery.rs
+++ b/src/engine/release_delivery.rs
@@ -5,6 +5,7 @@
 //! next one.
 
 use super::callers::Conn;
+use super::ended_calls::Reach;
 use super::{CallerConn, Due, Effect, Engine, Release, ServerConn, ToCaller, ToServer, UndeliveredEnd};
 use crate::interface::{CallId, ServerId};
 use std::collections::VecDeque;
@@ -20,6 +21,9 @@
 const FIRST_SET_UP_MS: f64 = 150.0;
 /// Between offers of one release there is so long for its caller to say that it heard, ms.
 const OFFER_GAP_MS: f64 = 250.0;
+/// An end that has found no caller for so long is given to another process at this address, ms; asked for so often at most, ms.
+const PASS_ON_AFTER_MS: f64 = 100.0;
+const PASS_ON_GAP_MS: f64 = 250.0;
 /// An owed release is offered for as long as a caller may still wait for it, ms.
 const OFFERED_FOR_MS: f64 = 30_000.0;
 
@@ -78,6 +82,8 @@
     sent: VecDeque<Sent>,
     /// Offers made since the last look.
     offers: usize,
+    /// What finds no caller is given to other processes at this address no sooner than this again.
+    next_pass_on_at: f64,
 }
 
 impl PendingReleases {
@@ -92,6 +98,11 @@
         self.owed.iter().map(undelivered).collect()
     }
 
+    /// Another process tells these ends.
+    pub(super) fn forget_owed(&mut self, ends: &[UndeliveredEnd]) {
+        self.owed.retain(|owed| !ends.iter().any(|end| end.call == owed.end.call));
+    }
+
     /// Releases that went out a moment ago and may still be lost with their connection.
     pub(super) fn in_flight(&self, now: f64) -> usize {
         self.sent.iter().filter(|sent| sent.at >= now - CROSSING_MS).count()
@@ -185,9 +196,37 @@
             self.acknowledge(end, out);
         }
         self.callers.releases.offers = 0;
+        self.pass_on_owed(out);
         self.offer_owed_releases(out);
     }
 
+    /// Where another process serves at this address, the callers may all be connected to that one.
+    fn pass_on_owed(&mut self, out: &mut Vec<Effect>) {
+        let now = self.now;
+        let releases = &mut self.callers.releases;
+        if self.leaving_since.is_some() || now < releases.next_pass_on_at {
+            return;
+        }
+        let late = releases.owed.iter().filter(|owed| now - owed.since >= PASS_ON_AFTER_MS);
+        let ends: Vec<UndeliveredEnd> =
+            late.map(|owed| UndeliveredEnd { call: owed.end.call, how: owed.end.how }).collect();
+        if !ends.is_empty() {
+            releases.next_pass_on_at = now + PASS_ON_GAP_MS;
+            out.push(Effect::PassOnEnds(ends));
+        }
+    }
+
+    /// Ends come from another process, or back from the exchange with it.
+    pub(super) fn ends_taken(&mut self, ends: &[UndeliveredEnd], own: bool, out: &mut Vec<Effect>) {
+        log::info!("{} ends of calls taken over, own: {own}", ends.len());
+        for &UndeliveredEnd { call, how } in ends {
+            let unheard = !self.calls.live.contains_key(&call) && self.calls.ended.add(call, Reach::Sent);
+            if own || unheard {
+                self.release_to_caller(CallerConn(0), EndOfCall { call, how, source: None }, out);
+            }
+        }
+    }
+
     /// A caller says that it heard of the end of a call.
     pub(super) fn release_heard(&mut self, call: CallId, out: &mut Vec<Effect>) {
         if let Some(end) = self.callers.releases.take(call) {
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -1,5 +1,6 @@
 //! Performs the reducer's effects: one queue of events in, one clock, one loop.
 
+use super::ends_exchange::{EndsExchange, TakenEnds};
 use super::listeners::{self, Heirs};
 use super::presence::{self, PREDECESSOR_POLL, Presence};
 use super::signals::Signals;
@@ -13,7 +14,7 @@
 use crate::control::{ControlSettings, Place};
 use crate::engine::{
     CallerConn, Effect, Engine, Event, OperatorAnswer, OperatorAsk, OperatorConn, PeerReport, ServerConn,
-    Standing, ToCaller,
+    Standing, ToCaller, UndeliveredEnd,
 };
 use crate::fronts::Fronts;
 use crate::limits::{LimitSettings, Limits};
@@ -102,6 +103,7 @@
     let heirs = Heirs::join(listening);
     let (presence, mut predecessors) = presence::join(listening);
     driver.presence = presence;
+    driver.ends = EndsExchange::join(listening);
     let mut looks_at_predecessors = interval(PREDECESSOR_POLL);
     looks_at_predecessors.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let (asks, mut questions) = mpsc::channel(OPERATOR_QUEUE);
@@ -142,7 +144,8 @@
             }
             _ = stops.recv() => driver.stop(&mut listener, &mut text_listener, &heirs),
             _ = interrupts.recv() => driver.stop(&mut listener, &mut text_listener, &heirs),
-            _ = looks_at_predecessors.tick(), if predecessors.any() => {
+            _ = looks_at_predecessors.tick() => {
+                driver.take_ends();
                 for undelivered in predecessors.take_gone() {
                     driver.step(Event::PredecessorGone(undelivered));
                 }
@@ -225,6 +228,8 @@
     effects: Vec<Effect>,
     /// Shows the processes that start later at this address that call servers may tell this one of calls.
     presence: Option<Presence>,
+    /// Ends of calls go to and come from other processes at this address there.
+    ends: Option<EndsExchange>,
     /// No further connection is to be taken.
     stops_listening: bool,
     exiting: bool,
@@ -303,6 +308,7 @@
             tasks: JoinSet::new(),
             effects: Vec::new(),
             presence: None,
+            ends: None,
             stops_listening: false,
             exiting: false,
             fronts,
@@ -436,6 +442,7 @@
             Effect::CloseCaller(conn) => {
                 self.callers.remove(&conn);
             }
+            Effect::PassOnEnds(ends) => self.pass_on_ends(ends),
             Effect::StopListening => self.stops_listening = true,
             Effect::ServersLeft(undelivered) => {
                 if let Some(Err(e)) = self.presence.take().map(|presence| presence.leave(&undelivered)) {
@@ -504,6 +511,31 @@
         }
     }
 
+    fn pass_on_ends(&mut self, ends: Vec<UndeliveredEnd>) {
+        let Some((exchange, presence)) = self.ends.as_mut().zip(self.presence.as_ref()) else { return };
+        match exchange.pass_on(presence, &ends) {
+            Ok(true) => {
+                log::info!(
+                    "{} ends of calls found no caller here, and are left to another process",
+                    ends.len()
+                );
+                self.step(Event::EndsPassedOn(ends));
+            }
+            Ok(false) => {}
+            Err(e) => log::warn!("{} ends of calls are not left to another process: {e}", ends.len()),
+        }
+    }
+
+    /// What other processes at this address could not tell their callers is told here, where callers are.
+    fn take_ends(&mut self) {
+        let has_callers = self.engine.has_callers();
+        for TakenEnds { own, ends } in
+            self.ends.as_ref().filter(|_| has_callers).map(EndsExchange::take).unwrap_or_default()
+        {
+            self.step(Event::EndsTaken { ends, own });
+        }
+    }
+
     /// A peer that takes nothing is given up: its task tells the reducer, with what could not be queued.
     fn order(&mut self, conn: CallerConn, order: callers::Order) {
         let queued = match self.callers.get(&conn) {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -4,6 +4,7 @@
 pub mod callers;
 pub mod control;
 pub mod driver;
+pub mod ends_exchange;
 pub mod figures;
 pub mod listeners;
 pub mod names;
--- a/src/net/presence.rs
+++ b/src/net/presence.rs
@@ -22,6 +22,8 @@
 pub struct Presence {
     locked: File,
     path: PathBuf,
+    /// What the names of all presences at its address begin with.
+    prefix: String,
 }
 
 /// Words for how a call ended, in a presence's file.
@@ -39,15 +41,18 @@
 /// Shows this process's presence at an address and finds the ones that are there. Without a `$TMPDIR` no process sees
 /// another.
 pub fn join(at: SocketAddr) -> (Option<Presence>, Predecessors) {
-    let Some(folder) = std::env::var_os("TMPDIR").filter(|v| !v.is_empty()).map(PathBuf::from) else {
-        return (None, Predecessors::default());
-    };
+    let Some(folder) = folder() else { return (None, Predecessors::default()) };
     join_in(&folder, at).unwrap_or_else(|e| {
         log::warn!("no predecessor will be noticed: {e}");
         (None, Predecessors::default())
     })
 }
 
+/// `$TMPDIR`.
+pub(super) fn folder() -> Option<PathBuf> {
+    std::env::var_os("TMPDIR").filter(|folder| !folder.is_empty()).map(PathBuf::from)
+}
+
 fn join_in(folder: &Path, at: SocketAddr) -> io::Result<(Option<Presence>, Predecessors)> {
     let prefix = format!("corkreach-{}.", at.to_string().replace(':', "-"));
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
@@ -58,8 +63,8 @@
     locked.try_lock()?;
     let path = folder.join(format!("{prefix}{own}"));
     fs::rename(&unnamed, &path)?;
-    let presence = Presence { locked, path };
-    let predecessors = predecessors(folder, &prefix, &presence.path)?;
+    let presence = Presence { locked, path, prefix };
+    let predecessors = predecessors(folder, &presence.prefix, &presence.path)?;
     Ok((Some(presence), predecessors))
 }
 
@@ -90,17 +95,30 @@
     /// # Errors
     /// The ends can't be written; the presence ends all the same.
     pub fn leave(mut self, undelivered: &[UndeliveredEnd]) -> io::Result<()> {
-        let line = |end: &UndeliveredEnd| {
-            let how = if end.how == Release::Completed { COMPLETED } else { CUT };
-            format!("{:016x} {how}\n", end.call.0)
-        };
-        let lines: String = undelivered.iter().map(line).collect();
-        self.locked.write_all(lines.as_bytes())
+        self.locked.write_all(lines(undelivered).as_bytes())
+    }
+
+    /// Whether another process is present at the address.
+    ///
+    /// # Errors
+    /// The folder can't be read.
+    pub fn any_other(&self) -> io::Result<bool> {
+        let Some(folder) = self.path.parent() else { return Ok(false) };
+        Ok(predecessors(folder, &self.prefix, &self.path)?.any())
     }
 }
 
-/// The ends in a presence's file; a line that is no such end is passed over.
-fn read_undelivered(file: &File) -> Vec<UndeliveredEnd> {
+/// These ends, a line each.
+pub(super) fn lines(ends: &[UndeliveredEnd]) -> String {
+    let line = |end: &UndeliveredEnd| {
+        let how = if end.how == Release::Completed { COMPLETED } else { CUT };
+        format!("{:016x} {how}\n", end.call.0)
+    };
+    ends.iter().map(line).collect()
+}
+
+/// The ends in such a file; a line that is no such end is passed over.
+pub(super) fn read_undelivered(file: &File) -> Vec<UndeliveredEnd> {
     let mut text = String::new();
     if let Err(e) = file.take(UNDELIVERED_MAX).read_to_string(&mut text) {
         log::warn!("the ends of calls that a predecessor left can't be read: {e}");
--- a/tests/process/hand_over.rs
+++ b/tests/process/hand_over.rs
@@ -58,3 +58,37 @@
     half.expect(12, 7, Some(16));
     half.expect(12, 8, Some(42));
 }
+
+/// Guards against ends that wait for a caller at one process while the other has all of them: two processes serve beside each
+/// other, and the end was told only as the first one left.
+#[test]
+fn an_end_that_finds_no_caller_is_told_by_the_process_beside() {
+    // What a server that speaks text hears beside set-ups would be taken for them.
+    let (a, b) = (Server::json("s-a", 0), Server::json("s-b", 1));
+    let (old, _names) = start(&[&a, &b]);
+    let (mut la, _lb) = (a.accept(), b.accept());
+    let mut caller = old.ready_caller();
+    stand(&mut caller, &mut la, 7);
+    let new = old.successor();
+    let mut links = [a.accept(), b.accept()];
+    caller.leave();
+    // New connections go to either process: one that the new process answers shows that it has a caller.
+    let mut connections = Vec::new();
+    for call in 100.. {
+        let mut caller = new.ready_caller();
+        caller.set_up(call, 0, 9000);
+        if links[0].speaks_before(&mut la) {
+            links[0].expect("new", call);
+            links[0].up(call);
+            caller.expect(9, call, None);
+            connections.push(caller);
+            break;
+        }
+        la.expect("new", call);
+        la.up(call);
+        caller.expect(9, call, None);
+        caller.leave();
+    }
+    la.down(7, 16, json!({}));
+    connections[0].expect(12, 7, Some(16));
+}
