--- a/src/engine/calls.rs
+++ b/src/engine/calls.rs
@@ -3,7 +3,7 @@
 use super::callers::CallerPresence;
 use super::ended_calls::{EndedCalls, Reach};
 use super::shares::Paid;
-use super::unsettled::{Unsettled, UnsettledAttempts};
+use super::unsettled::UnsettledAttempts;
 use super::{CallerConn, Due, Effect, Engine, Fault, ServerConn, SetUp, ToCaller, ToServer};
 use crate::audit::Decision;
 use crate::interface::{self as module, CallId, LoadReport, Outcome, ServerId};
@@ -552,33 +552,6 @@
         }
     }
 
-    /// An attempt of this call at the call server of this connection is given up there: until the call server has read so,
-    /// no further one goes to it.
-    pub(super) fn note_unsettled(&mut self, id: CallId, conn: ServerConn) {
-        let Some(server) = self.fleet.server_of(conn) else { return };
-        if self.calls.live.get(&id).is_none_or(|c| c.answered) {
-            return;
-        }
-        self.calls.written += 1;
-        self.calls.unsettled.note(Unsettled { call: id, server, conn, written: self.calls.written });
-        self.news.push_back(module::Event::Barred { call: id, server });
-    }
-
-    /// Attempts have ended at their call servers too: calls that have no other there may go there again.
-    pub(super) fn settled(&mut self, settled: Vec<Unsettled>) {
-        for Unsettled { call, server, .. } in settled {
-            if !self.calls.unsettled.any(call, server) {
-                self.news.push_back(module::Event::Unbarred { call, server });
-            }
-        }
-    }
-
-    /// A call server speaks of a set-up: it has read what was written on that connection before.
-    pub(super) fn note_read(&mut self, conn: ServerConn, up_to: u64) {
-        let settled = self.calls.unsettled.take_read(conn, up_to);
-        self.settled(settled);
-    }
-
     /// The call server may not have heard of the end of this call's attempt, or of the call: it may stand there still.
     pub(super) fn note_may_stand(&mut self, id: CallId) {
         if let Some(call) = self.calls.live.get_mut(&id) {
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -21,6 +21,7 @@
 mod probes;
 mod recovery;
 mod release_delivery;
+mod server_close;
 mod shares;
 mod sites;
 mod stop;
--- a/src/engine/unsettled.rs
+++ b/src/engine/unsettled.rs
@@ -4,8 +4,8 @@
 //! as the call server may not have read that an attempt is given up, a further attempt of the same call there could be cut
 //! by the late release, or be taken for the end of the first. So the call goes to no such server.
 
-use super::ServerConn;
-use crate::interface::{CallId, ServerId};
+use super::{Engine, ServerConn};
+use crate::interface::{self as module, CallId, ServerId};
 
 /// An attempt, or a call that stood unknown here, which was given up by a release or with its connection.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -54,3 +54,32 @@
         self.0.extract_if(.., |u| u.server == server).collect()
     }
 }
+
+impl Engine {
+    /// An attempt of this call at the call server of this connection is given up there: until the call server has read so,
+    /// no further one goes to it.
+    pub(super) fn note_unsettled(&mut self, id: CallId, conn: ServerConn) {
+        let Some(server) = self.fleet.server_of(conn) else { return };
+        if self.calls.live.get(&id).is_none_or(|c| c.answered) {
+            return;
+        }
+        self.calls.written += 1;
+        self.calls.unsettled.note(Unsettled { call: id, server, conn, written: self.calls.written });
+        self.news.push_back(module::Event::Barred { call: id, server });
+    }
+
+    /// Attempts have ended at their call servers too: calls that have no other there may go there again.
+    pub(super) fn settled(&mut self, settled: Vec<Unsettled>) {
+        for Unsettled { call, server, .. } in settled {
+            if !self.calls.unsettled.any(call, server) {
+                self.news.push_back(module::Event::Unbarred { call, server });
+            }
+        }
+    }
+
+    /// A call server speaks of a set-up: it has read what was written on that connection before.
+    pub(super) fn note_read(&mut self, conn: ServerConn, up_to: u64) {
+        let settled = self.calls.unsettled.take_read(conn, up_to);
+        self.settled(settled);
+    }
+}
