--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -145,6 +145,8 @@
     caller.set_up(7, 0, 9000);
     la.expect("new", 7);
     let mut next = a.accept();
+    // A connection whose state was not read yet gets no set-up.
+    wait_until_read(&mut next, 99);
     caller.set_up(8, 0, 9000);
     next.expect("new", 8);
     next.up(8);
